--- a/cumindrift/context.py
+++ b/cumindrift/context.py
@@ -44,6 +44,8 @@
     receivers: dict[int, Receiver] = field(factory=dict)
     view_listeners: list[Callable[[View], None]] = field(factory=list)
     snapshot_listeners: list[Callable[[Snapshot], None]] = field(factory=list)
+    # Asked once a tick during a graceful stop until each answers True.
+    stop_steps: list[Callable[[float], bool]] = field(factory=list)
     is_stopping: bool = False
     membership: MembershipCore = field(init=False)
     snapshots: SnapshotStore = field(init=False)
--- a/cumindrift/daemon.py
+++ b/cumindrift/daemon.py
@@ -16,11 +16,13 @@
 from cumindrift.settings.process import ProcessSettings, load_process_settings
 from cumindrift.supervision import Child
 from cumindrift.supervisor import build_root
+from cumindrift.ticker import Ticker
 
 EXIT_DONE = 0
 EXIT_SETTINGS = 2
 EXIT_PORT = 3
 EXIT_RESTARTS = 4
+STOP_TICK_S = 0.05
 
 _SETTINGS = flags.DEFINE_string('settings', None, 'Path of the settings file.')
 _CHECK = flags.DEFINE_bool('check_settings', False, 'Check them and exit.')
@@ -34,6 +36,7 @@
         super().__init__(channel='signals')
         self._context = context
         self._stop = stop
+        self._until_s = 0.0
 
     @handler('signal', channel='*')
     def _on_signal(self, number: int, _frame: object) -> None:
@@ -42,8 +45,17 @@
             self.root.stop()
             return
         logger.info('signal {}: stopping in order', number)
-        self._context.is_stopping = True
-        self._stop()
+        context = self._context
+        context.is_stopping = True
+        self._until_s = context.clock() + context.settings.stop_within_s
+        Ticker('stop', STOP_TICK_S, self._stop_in_order).register(self)
+
+    def _stop_in_order(self) -> None:
+        now_s = self._context.clock()
+        steps = self._context.stop_steps
+        steps[:] = [step for step in steps if not step(now_s)]
+        if not steps or now_s >= self._until_s:
+            self._stop()
 
 
 def run_process(settings: ProcessSettings) -> int:
--- /dev/null
+++ b/lab/network.py
@@ -0,0 +1,76 @@
+"""A network in virtual time: delays, loss, doubling, order and cuts."""
+
+from collections.abc import Callable
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+from typing import Any
+
+from attrs import define, field
+
+from cumindrift.address import Endpoint
+
+Receive = Callable[[Any, float], None]
+
+
+@define(slots=True, eq=False)
+class VirtualNetwork:
+    """Carries messages between cores and moves the time forward.
+
+    Used by randomised runs and measurements. All randomness comes from
+    `random`, so a run is replayed from its seed.
+    """
+
+    random: Random
+    delay_s: float = 0.001
+    jitter_s: float = 0.001
+    loss_share: float = 0.0
+    double_share: float = 0.0
+    now_s: float = 0.0
+    # Tells whether a message from the first to the second is cut off.
+    is_cut: Callable[[Endpoint, Endpoint], bool] = lambda _from, _to: False
+    receivers: dict[Endpoint, Receive] = field(factory=dict)
+    sent_count: int = 0
+    _heap: list[tuple[float, int, Callable[[], None]]] = field(factory=list)
+    _order: count = field(factory=count)
+
+    def at(self, when_s: float, call: Callable[[], None]) -> None:
+        """Calls `call` at a moment of virtual time."""
+        heappush(self._heap, (when_s, next(self._order), call))
+
+    def every(self, period_s: float, call: Callable[[], None]) -> None:
+        """Calls `call` once a period, from a random moment on."""
+
+        def again() -> None:
+            call()
+            self.at(self.now_s + period_s, again)
+
+        self.at(self.now_s + self.random.random() * period_s, again)
+
+    def send(self, sender: Endpoint, peer: Endpoint, message: Any) -> None:
+        """Sends one message, subject to the faults."""
+        self.sent_count += 1
+        if self.random.random() < self.loss_share:
+            return
+        self._carry(sender, peer, message)
+        if self.random.random() < self.double_share:
+            self._carry(sender, peer, message)
+
+    def run(self, until_s: float) -> None:
+        """Runs all that is due up to `until_s`."""
+        while self._heap and self._heap[0][0] <= until_s:
+            self.now_s, _, call = heappop(self._heap)
+            call()
+        self.now_s = until_s
+
+    def _carry(self, sender: Endpoint, peer: Endpoint, message: Any) -> None:
+        delay_s = self.delay_s + self.random.random() * self.jitter_s
+        self.at(
+            self.now_s + delay_s,
+            lambda: self._arrive(sender, peer, message),
+        )
+
+    def _arrive(self, sender: Endpoint, peer: Endpoint, message: Any) -> None:
+        receive = self.receivers.get(peer)
+        if receive is not None and not self.is_cut(sender, peer):
+            receive(message, self.now_s)
