--- a/cumindrift/daemon.py
+++ b/cumindrift/daemon.py
@@ -51,10 +51,12 @@
         Ticker('stop', STOP_TICK_S, self._stop_in_order).register(self)
 
     def _stop_in_order(self) -> None:
-        now_s = self._context.clock()
-        steps = self._context.stop_steps
-        steps[:] = [step for step in steps if not step(now_s)]
-        if not steps or now_s >= self._until_s:
+        context = self._context
+        now_s = context.clock()
+        context.stop_steps = [
+            step for step in context.stop_steps if not step(now_s)
+        ]
+        if not context.stop_steps or now_s >= self._until_s:
             self._stop()
 
 
@@ -97,3 +99,7 @@
     """Runs the daemon; the entry point of the installed program."""
     flags.mark_flag_as_required('settings')
     app.run(_run)
+
+
+if __name__ == '__main__':
+    main()
--- a/lab/network.py
+++ b/lab/network.py
@@ -59,8 +59,9 @@
     def run(self, until_s: float) -> None:
         """Runs all that is due up to `until_s`."""
         while self._heap and self._heap[0][0] <= until_s:
-            self.now_s, _, call = heappop(self._heap)
-            call()
+            due = heappop(self._heap)
+            self.now_s = due[0]
+            due[2]()
         self.now_s = until_s
 
     def _carry(self, sender: Endpoint, peer: Endpoint, message: Any) -> None:
