--- a/features/environment.py
+++ b/features/environment.py
@@ -2,7 +2,10 @@
 
 from loguru import logger
 
+from cumindrift.invariant import be_strict
+
 
 def before_all(context):
-    """Silences logs; failures are told by steps."""
+    """Silences logs and makes violated invariants fatal."""
     logger.remove()
+    be_strict()
