--- a/cumindrift/daemon.py
+++ b/cumindrift/daemon.py
@@ -13,6 +13,7 @@
 from cumindrift.log import set_up_logs
 from cumindrift.outcome import Refused
 from cumindrift.registry import UnknownNameError
+from cumindrift.role import RoleSettingsError
 from cumindrift.settings.process import ProcessSettings, load_process_settings
 from cumindrift.supervision import Child
 from cumindrift.supervisor import build_root
@@ -65,7 +66,7 @@
     context = make_context(settings)
     try:
         root = build_root(context)
-    except UnknownNameError as error:
+    except (UnknownNameError, RoleSettingsError) as error:
         return _fail(ResultCode.SETTINGS_FILE, str(error), EXIT_SETTINGS)
     except OSError as error:
         return _fail(ResultCode.PORT_IN_USE, str(error), EXIT_PORT)
--- a/cumindrift/metric.py
+++ b/cumindrift/metric.py
@@ -22,6 +22,10 @@
     'Invariants found violated; any count is a fault of the program.',
     ('invariant',),
 )
+LOG_LINES_DROPPED = Counter(
+    'cumindrift_log_lines_dropped',
+    'Log lines kept back because their source line logged too often.',
+)
 FLOWS_HELD = Gauge(
     'cumindrift_flows_held',
     'Flows that this agent holds.',
--- a/cumindrift/traffic/agent.py
+++ b/cumindrift/traffic/agent.py
@@ -10,7 +10,7 @@
 from cumindrift.membership.view import ServiceName, View
 from cumindrift.metric import DROPS, FLOWS_HELD, HOPS
 from cumindrift.registry import Registry
-from cumindrift.role import roles
+from cumindrift.role import RoleSettingsError, roles
 from cumindrift.settings.process import TargetSettings
 from cumindrift.settings.tree import Service, Snapshot
 from cumindrift.supervision import ChildSpec, Supervisor
@@ -168,7 +168,7 @@
     """Builds the agent's core once; returns the supervisor's builder."""
     target = context.settings.target
     if target is None:
-        raise ValueError('an agent needs `target` in its settings')
+        raise RoleSettingsError('an agent needs `target` in its settings')
     core = AgentCore(context, target)
     context.view_listeners.append(core.on_view)
     context.snapshot_listeners.append(core.on_snapshot)
--- a/cumindrift/traffic/balancer.py
+++ b/cumindrift/traffic/balancer.py
@@ -8,7 +8,7 @@
 from cumindrift.metric import DROPS
 from cumindrift.outcome import Dropped
 from cumindrift.port import DatagramPort
-from cumindrift.role import roles
+from cumindrift.role import RoleSettingsError, roles
 from cumindrift.supervision import ChildSpec, Supervisor
 from cumindrift.traffic.candidates import candidate_of
 from cumindrift.traffic.frame import frame_packet
@@ -60,6 +60,8 @@
 @roles.register('balancer')
 def prepare_balancer(context: Context) -> Callable[[], Supervisor]:
     """Builds the balancer's core once; returns the supervisor's builder."""
+    if not context.settings.fabric:
+        raise RoleSettingsError('a balancer needs `fabric` in its settings')
     core = BalancerCore(candidate_of(context.me))
     core.on_view(context.membership.view)
     core.on_settings(context.snapshots.snapshot)
