--- a/cumindrift/membership/supervisor.py
+++ b/cumindrift/membership/supervisor.py
@@ -5,7 +5,7 @@
 from cumindrift.supervision import ChildSpec, Supervisor
 from cumindrift.ticker import Ticker
 
-TICK_PERIOD_S = 0.1
+TICK_PERIOD_S = 0.25
 
 
 def build_membership(context: Context) -> Supervisor:
--- a/cumindrift/traffic/agent.py
+++ b/cumindrift/traffic/agent.py
@@ -39,6 +39,7 @@
 from cumindrift.traffic.target import TargetLink
 
 TICK_PERIOD_S = 0.05
+IDLE_PERIOD_S = 0.25
 _PERMILLE = 1000
 _DEFAULT_SERVICE = Service(ip='0.0.0.0', port=1)  # noqa: S104
 
@@ -187,7 +188,9 @@
                 ChildSpec('target-link', build_link),
                 ChildSpec(
                     'ticker',
-                    lambda: Ticker('agent', TICK_PERIOD_S, core.tick),
+                    lambda: Ticker(
+                        'agent', TICK_PERIOD_S, core.tick, IDLE_PERIOD_S
+                    ),
                 ),
             ],
         )
--- a/lab/idle.py
+++ b/lab/idle.py
@@ -36,25 +36,25 @@
     return Usage(ticks / _TICKS_PER_S, resident_bytes)
 
 
+def _row(pid: int, before: Usage, elapsed_s: float) -> tuple[str, ...]:
+    usage = read_usage(pid)
+    share = (usage.cpu_s - before.cpu_s) / elapsed_s
+    words = Path(f'/proc/{pid}/cmdline').read_bytes().split(b'\0')
+    return (
+        str(pid),
+        Path(words[-2].decode()).name,
+        f'{share:.2%}',
+        f'{usage.resident_bytes / _BYTES_PER_MB:.0f}',
+    )
+
+
 def _run(arguments: list[str]) -> int:
     pids = [int(text) for text in arguments[1:]]
     before = {pid: read_usage(pid) for pid in pids}
     start_s = monotonic()
     sleep(_SECONDS.value)
     elapsed_s = monotonic() - start_s
-    rows = []
-    for pid in pids:
-        usage = read_usage(pid)
-        share = (usage.cpu_s - before[pid].cpu_s) / elapsed_s
-        name = Path(f'/proc/{pid}/cmdline').read_bytes().split(b'\0')
-        rows.append(
-            (
-                pid,
-                b' '.join(name[2:4]).decode(),
-                f'{share:.2%}',
-                f'{usage.resident_bytes / _BYTES_PER_MB:.0f}',
-            )
-        )
+    rows = [_row(pid, before[pid], elapsed_s) for pid in pids]
     headers = ('pid', 'process', 'of a core', 'MB')
     sys.stdout.write(f'{tabulate(rows, headers)}\n')
     return 0
