--- a/lab/layout.py
+++ b/lab/layout.py
@@ -21,6 +21,7 @@
 TEAM = 'todistajat'
 ENDPOINT_COUNTS = {'kaynti': 7, 'asiakirja': 3}
 SPEEDS = (1.0, 1.0, 2.0, 3.0, 1.0, 2.0, 1.0, 1.0, 2.0, 3.0)
+CALLER_IP = '127.0.4.1'
 FABRIC = Endpoint('127.0.0.10', 7300)
 PLATFORM = Endpoint('127.0.3.1', 7500)
 SERVICES = {
--- a/lab/shift.py
+++ b/lab/shift.py
@@ -1,54 +1,54 @@
-"""Runs callers against a running deployment and prints what became of it."""
+"""Runs callers and incidents against a deployment; prints what came of it."""
 
-import json
 import sys
-from collections import Counter
-from http.client import HTTPConnection
 from random import Random
 from time import monotonic, sleep
-from typing import Any
 
 from absl import app, flags
-from attrs import define, field
 from circuits import Component
 from circuits.core.pollers import EPoll
 from tabulate import tabulate
 
-from cumindrift.address import Endpoint
-from cumindrift.caller.answer import Answer
-from cumindrift.caller.client import Client
-from cumindrift.caller.session import make_request
 from cumindrift.document import unstructure
-from cumindrift.outcome import Done, NotRun, Outcome
 from cumindrift.ticker import Ticker
+from lab.incident import Planned, call_admin, incidents
 from lab.layout import (
     BALANCER_COUNT,
-    FABRIC,
-    SERVICES,
+    ENDPOINT_COUNTS,
     balancer_ip,
     target_places,
     tree,
 )
+from lab.target_report import (
+    TargetReport,
+    count_run_twice,
+    imbalance,
+    read_targets,
+)
+from lab.workload import Workload
 
-_SECONDS = flags.DEFINE_float('seconds', 20.0, 'How long callers go on.')
+_SECONDS = flags.DEFINE_float('seconds', 30.0, 'How long callers go on.')
 _FLOWS = flags.DEFINE_integer('flows', 60, 'Flows that are kept open.')
 _SEED = flags.DEFINE_integer('seed', 1, 'Seed of the callers.')
+_FAULTS = flags.DEFINE_bool('faults', False, 'Kill and freeze processes too.')
 
 TICK_PERIOD_S = 0.05
-HTTP_OK = 200
-REQUEST_PERIOD_S = 0.5
-REQUEST_WITHIN_S = 5.0
-DOWNLOAD_BYTES = 400_000
-HTTP_TIMEOUT_S = 5.0
 START_TIMEOUT_S = 30.0
 POLL_PERIOD_S = 0.1
+LEAVING = 'van-c'
+DRAINED = 'kaynti-hel-a-1'
 
-
-def call_admin(ip: str, method: str, path: str, bare: Any = None) -> Any:
-    """Calls an administration page and returns its JSON."""
-    connection = HTTPConnection(ip, 7200, timeout=HTTP_TIMEOUT_S)
-    connection.request(method, path, json.dumps(bare) if bare else None)
-    return json.loads(connection.getresponse().read())
+PLAN = (
+    Planned(6.0, 'drain', DRAINED),
+    Planned(10.0, 'data-centre-out', LEAVING),
+    Planned(18.0, 'data-centre-in', LEAVING),
+)
+FAULT_PLAN = (
+    Planned(3.0, 'kill', 'balancer-2'),
+    Planned(14.0, 'freeze', 'kaynti-esp-b-2'),
+    Planned(20.0, 'thaw', 'kaynti-esp-b-2'),
+    Planned(22.0, 'kill', 'platform'),
+)
 
 
 def wait_until_up(member_count: int) -> None:
@@ -68,116 +68,85 @@
         return False
 
 
-@define(slots=True, eq=False)
-class CallerFlow:
-    """One caller with a long flow and one request at a time."""
-
-    client: Client
-    service: str
-    next_s: float
-    expected: dict[bytes, bytes | None] = field(factory=dict)
-
-
 class Shift(Component):
-    """Keeps flows open and requests running; the root of this program."""
+    """Drives callers and incidents; the root of this program."""
 
-    def __init__(self) -> None:
+    def __init__(self, plan: list[Planned]) -> None:
         """Opens nothing yet."""
         super().__init__()
-        self._random = Random(_SEED.value)
-        self._flows: list[CallerFlow] = []
+        self.workload = Workload(self, Random(_SEED.value), _FLOWS.value)
+        self.reports: dict[str, TargetReport] = {}
+        self._plan = sorted(plan, key=lambda planned: planned.at_s)
         self._start_s = monotonic()
-        self.counts: Counter[str] = Counter()
-        self.run_ids: set[str] = set()
         Ticker('shift', TICK_PERIOD_S, self._tick).register(self)
 
     def _tick(self) -> None:
-        now_s = monotonic()
-        if now_s > self._start_s + _SECONDS.value:
-            if all(not flow.expected for flow in self._flows):
+        elapsed_s = monotonic() - self._start_s
+        if elapsed_s > _SECONDS.value:
+            if self.workload.is_quiet:
                 self.stop()
             return
-        if len(self._flows) < _FLOWS.value:
-            self._open(now_s)
-        for flow in self._flows:
-            if now_s >= flow.next_s and not flow.expected:
-                flow.next_s = now_s + REQUEST_PERIOD_S
-                self._request(flow)
-
-    def _open(self, now_s: float) -> None:
-        service = self._random.choice(sorted(SERVICES))
-        flow_box: list[CallerFlow] = []
-        client = Client(
-            Endpoint('127.0.4.1', 0),
-            FABRIC,
-            SERVICES[service],
-            lambda request_id, outcome: self._note(
-                flow_box[0],
-                request_id,
-                outcome,
-            ),
+        while self._plan and self._plan[0].at_s <= elapsed_s:
+            self._cause(self._plan.pop(0), elapsed_s)
+        self.workload.tick()
+
+    def _cause(self, planned: Planned, elapsed_s: float) -> None:
+        sys.stdout.write(
+            f'{elapsed_s:5.1f} s  {planned.name} {planned.subject}\n',
+        )
+        if planned.name == 'data-centre-in':
+            # Read before callers come back: the last packet so far.
+            self.reports = read_targets()
+        if planned.name == 'data-centre-out':
+            self.workload.given_up.update(
+                place.name
+                for place in target_places()
+                if place.data_centre == planned.subject
+            )
+        incidents.get(planned.name)(planned.subject)
+
+
+def print_table(shift: Shift, out_at_s: float) -> None:
+    """Prints the counts, and the checks that the issue names."""
+    reports = read_targets()
+    rows = sorted(shift.workload.counts.items())
+    rows.append(('requests run twice', count_run_twice(reports)))
+    for service in sorted(ENDPOINT_COUNTS):
+        rows.append(
+            (
+                f'imbalance of {service} (max/mean relative to speed)',
+                f'{imbalance(reports, service):.2f}',
+            )
         )
-        flow = CallerFlow(client, service, now_s)
-        flow_box.append(flow)
-        client.register(self)
-        self._flows.append(flow)
-        self.counts['flows opened'] += 1
-
-    def _request(self, flow: CallerFlow) -> None:
-        if flow.service == 'asiakirja':
-            path = f'/download?bytes={DOWNLOAD_BYTES}'
-            request = make_request(
-                self._random, 'GET', path, is_idempotent=True
+    leaving = [
+        report.idle_s
+        for report in shift.reports.values()
+        if report.place.data_centre == LEAVING and report.idle_s >= 0
+    ]
+    if leaving:
+        rows.append(
+            (
+                f'last request to {LEAVING} after it was set out, in s',
+                f'{max(out_at_s - min(leaving), 0):.2f}',
             )
-            expected = (bytes(range(256)) * 2000)[:DOWNLOAD_BYTES]
-        else:
-            body = self._random.randbytes(40).hex().encode()
-            request = make_request(self._random, 'POST', '/claims', body)
-            expected = body
-        flow.expected[request.request_id] = expected
-        self.run_ids.add(request.request_id.hex())
-        flow.client.request(request, REQUEST_WITHIN_S)
-
-    def _note(
-        self,
-        flow: CallerFlow,
-        request_id: bytes,
-        outcome: Outcome,
-    ) -> None:
-        expected = flow.expected.pop(request_id)
-        if isinstance(outcome, Done):
-            answer: Answer = outcome.content
-            if answer.body == expected:
-                self.counts['requests done'] += 1
-            elif answer.status == HTTP_OK:
-                self.counts['answers mixed'] += 1
-            else:
-                self.counts[f'status {answer.status}'] += 1
-        elif isinstance(outcome, NotRun):
-            self.counts[f'not run: {outcome.code.name}'] += 1
-        else:
-            self.counts[f'unknown: {outcome.code.name}'] += 1
-
-
-def count_run_twice() -> int:
-    """Asks every target which ids it ran more than once."""
-    runs: Counter[str] = Counter()
-    for place in target_places():
-        connection = HTTPConnection(place.ip, 8080, timeout=HTTP_TIMEOUT_S)
-        connection.request('GET', '/runs')
-        runs.update(json.loads(connection.getresponse().read()))
-    return sum(1 for count in runs.values() if count > 1)
+        )
+    sys.stdout.write(f'{tabulate(rows)}\n')
 
 
 def _run(_arguments: list[str]) -> int:
     wait_until_up(BALANCER_COUNT + len(target_places()))
     call_admin(balancer_ip(1), 'PUT', '/settings', unstructure(tree()))
-    shift = Shift()
+    plan = [*PLAN, *(FAULT_PLAN if _FAULTS.value else ())]
+    shift = Shift(plan)
     EPoll().register(shift)
     shift.run()
-    shift.counts['requests run twice'] = count_run_twice()
-    sys.stdout.write(f'{tabulate(sorted(shift.counts.items()))}\n')
-    return 0
+    out, back = (
+        next(planned.at_s for planned in PLAN if planned.name == name)
+        for name in ('data-centre-out', 'data-centre-in')
+    )
+    print_table(shift, back - out)
+    counts = shift.workload.counts
+    return 1 if counts['flows broken'] or counts['answers mixed or cut'] else 0
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/lab/target_report.py
@@ -0,0 +1,64 @@
+"""What the target stand-ins counted, read after or during a shift."""
+
+import json
+from collections import Counter
+from http.client import HTTPConnection
+from typing import Any
+
+from attrs import define
+
+from lab.layout import TargetPlace, target_places
+
+HTTP_PORT = 8080
+HTTP_TIMEOUT_S = 5.0
+
+
+@define(frozen=True, slots=True)
+class TargetReport:
+    """The counts of one target."""
+
+    place: TargetPlace
+    run_counts: dict[str, int]
+    # Since the last request was started; negative when there was none.
+    idle_s: float
+
+    @property
+    def load(self) -> float:
+        """Requests run, relative to the target's speed."""
+        return sum(self.run_counts.values()) / self.place.speed
+
+
+def read_targets() -> dict[str, TargetReport]:
+    """Asks every target for its counts."""
+    return {
+        place.name: TargetReport(
+            place,
+            _read(place, '/runs'),
+            _read(place, '/load')['idle_s'],
+        )
+        for place in target_places()
+    }
+
+
+def count_run_twice(reports: dict[str, TargetReport]) -> int:
+    """Returns how many request ids ran more than once, on any target."""
+    runs: Counter[str] = Counter()
+    for report in reports.values():
+        runs.update(report.run_counts)
+    return sum(1 for count in runs.values() if count > 1)
+
+
+def imbalance(reports: dict[str, TargetReport], service: str) -> float:
+    """Returns max/mean of the load relative to speed of a service."""
+    loads = [
+        report.load
+        for report in reports.values()
+        if report.place.service == service
+    ]
+    return max(loads) * len(loads) / max(sum(loads), 1)
+
+
+def _read(place: TargetPlace, path: str) -> Any:
+    connection = HTTPConnection(place.ip, HTTP_PORT, timeout=HTTP_TIMEOUT_S)
+    connection.request('GET', path)
+    return json.loads(connection.getresponse().read())
--- /dev/null
+++ b/lab/workload.py
@@ -0,0 +1,145 @@
+"""Callers of the demonstration: claims and long downloads in long flows."""
+
+from collections import Counter
+from random import Random
+from time import monotonic
+
+from attrs import define, field
+from circuits import Component
+
+from cumindrift.address import Endpoint
+from cumindrift.caller.answer import Answer
+from cumindrift.caller.client import Client
+from cumindrift.caller.session import make_request
+from cumindrift.code import ResultCode
+from cumindrift.outcome import Done, NotRun, Outcome
+from lab.layout import CALLER_IP, FABRIC, SERVICES
+
+REQUEST_PERIOD_S = 0.5
+REQUEST_WITHIN_S = 8.0
+DOWNLOAD_BYTES = 400_000
+HTTP_OK = 200
+# Outcomes after which a caller must take the flow itself for lost.
+FLOW_LOST_CODES = frozenset(
+    (
+        ResultCode.NO_SUCH_FLOW,
+        ResultCode.DATA_CENTRE_OUT,
+        ResultCode.OTHER_INCARNATION,
+        ResultCode.DEADLINE_PASSED,
+    )
+)
+_PATTERN = bytes(range(256))
+
+
+@define(slots=True, eq=False)
+class CallerFlow:
+    """One caller with a long flow and one request at a time."""
+
+    client: Client
+    service: str
+    next_s: float
+    expected: dict[bytes, bytes] = field(factory=dict)
+
+    @property
+    def agent(self) -> str:
+        """The agent that holds the flow, empty before it is open."""
+        return self.client.session.agent
+
+
+@define(slots=True, eq=False)
+class Workload:
+    """Keeps a number of flows open and a request running in each.
+
+    Used by `lab.shift`, on whose root the clients are registered. Flows
+    that are refused, or whose agent no longer knows them, are counted and
+    replaced, as a caller would.
+    """
+
+    root: Component
+    random: Random
+    flow_count: int
+    flows: list[CallerFlow] = field(factory=list)
+    counts: Counter = field(factory=Counter)
+    # Tells whether losing a flow of this agent was announced beforehand.
+    given_up: set[str] = field(factory=set)
+
+    def tick(self) -> None:
+        """Opens what is missing and sends what is due."""
+        now_s = monotonic()
+        if len(self.flows) < self.flow_count:
+            self._open(now_s)
+        for flow in self.flows:
+            if now_s >= flow.next_s and not flow.expected:
+                flow.next_s = now_s + REQUEST_PERIOD_S
+                self._request(flow)
+
+    @property
+    def is_quiet(self) -> bool:
+        """Whether no request waits for its outcome."""
+        return all(not flow.expected for flow in self.flows)
+
+    def _open(self, now_s: float) -> None:
+        service = self.random.choice(sorted(SERVICES))
+        client = Client(
+            Endpoint(CALLER_IP, 0),
+            FABRIC,
+            SERVICES[service],
+            lambda request_id, outcome: self._note(flow, request_id, outcome),
+        )
+        flow = CallerFlow(client, service, now_s)
+        client.register(self.root)
+        self.flows.append(flow)
+        self.counts['flows opened'] += 1
+
+    def _request(self, flow: CallerFlow) -> None:
+        if flow.service == 'asiakirja':
+            path = f'/download?bytes={DOWNLOAD_BYTES}'
+            request = make_request(
+                self.random,
+                'GET',
+                path,
+                is_idempotent=True,
+            )
+            repeats = DOWNLOAD_BYTES // len(_PATTERN) + 1
+            body = (_PATTERN * repeats)[:DOWNLOAD_BYTES]
+        else:
+            body = self.random.randbytes(40).hex().encode()
+            request = make_request(self.random, 'POST', '/claims', body)
+        flow.expected[request.request_id] = body
+        flow.client.request(request, REQUEST_WITHIN_S)
+
+    def _note(
+        self,
+        flow: CallerFlow,
+        request_id: bytes,
+        outcome: Outcome,
+    ) -> None:
+        expected = flow.expected.pop(request_id)
+        if isinstance(outcome, Done):
+            self._note_answer(outcome.content, expected)
+        elif isinstance(outcome, NotRun):
+            self.counts[f'requests not run: {outcome.code.name}'] += 1
+        else:
+            self.counts[f'requests unknown: {outcome.code.name}'] += 1
+        if outcome.code in FLOW_LOST_CODES:
+            self._replace(flow)
+
+    def _note_answer(self, answer: Answer, expected: bytes) -> None:
+        if answer.body == expected:
+            self.counts['requests done'] += 1
+        elif answer.status == HTTP_OK:
+            self.counts['answers mixed or cut'] += 1
+        else:
+            self.counts[f'requests answered {answer.status}'] += 1
+
+    def _replace(self, flow: CallerFlow) -> None:
+        if flow not in self.flows:
+            return
+        self.flows.remove(flow)
+        flow.client.finish()
+        if flow.agent in self.given_up:
+            self.counts['flows given up'] += 1
+        elif flow.agent:
+            self.counts['flows broken'] += 1
+        else:
+            self.counts['flows refused'] += 1
