Finding is bounded, records order and move, opens wait for their records

Cause: a hinted packet at a wrong agent, a stale record and a repeated open under two views could each lose a flow; records of two holders did not order.

--- a/cumindrift/code.py
+++ b/cumindrift/code.py
@@ -69,3 +69,5 @@
     HOP_LIMIT = 705, 'A packet used up its hops.'
     SEND_BUFFER_FULL = 706, 'The kernel took no more datagrams.'
     WRONG_SERVICE = 707, 'A packet reached an agent of another service.'
+    SEARCH_UNSURE = 708, 'A search ended while views or an agent were fresh.'
+    OPEN_PENDING = 709, 'A repeated open while the first is being placed.'
--- a/cumindrift/schema/traffic.capnp
+++ b/cumindrift/schema/traffic.capnp
@@ -29,6 +29,7 @@
   assigned @3 :Bool;
   reports @4 :List(LoadReport);
   packet @5 :Data;
+  searched @6 :Bool;
 }
 
 struct HolderRecord {
@@ -38,6 +39,9 @@
   holder @3 :Candidate;
   sequence @4 :UInt64;
   held @5 :Bool;
+  incarnation @6 :UInt64;
+  ageMs @7 :UInt64;
+  teller @8 :Candidate;
 }
 
 struct RecordAck {
@@ -53,6 +57,28 @@
   held @3 :Bool;
 }
 
+struct HandoverPart {
+  owner @0 :Candidate;
+  incarnation @1 :UInt64;
+  number @2 :UInt32;
+  partCount @3 :UInt32;
+  flowKeys @4 :List(Data);
+  ledger @5 :Data;
+}
+
+struct HandoverAck {
+  keeperId @0 :UInt64;
+  incarnation @1 :UInt64;
+  number @2 :UInt32;
+}
+
+struct HandoverAsk {
+  owner @0 :Candidate;
+  incarnation @1 :UInt64;
+  firstNumber @2 :UInt32;
+  isDone @3 :Bool;
+}
+
 struct TrafficMessage {
   union {
     openSearch @0 :OpenSearch;
@@ -60,5 +86,8 @@
     recordAck @2 :RecordAck;
     flowHint @3 :FlowHint;
     flowRoute @4 :FlowRoute;
+    handoverPart @5 :HandoverPart;
+    handoverAck @6 :HandoverAck;
+    handoverAsk @7 :HandoverAsk;
   }
 }
--- a/cumindrift/traffic/agent.py
+++ b/cumindrift/traffic/agent.py
@@ -28,6 +28,9 @@
 from cumindrift.traffic.frame import STEERED_FAMILY
 from cumindrift.traffic.front import FrontEnd, RequestsFront, fronts
 from cumindrift.traffic.message import (
+    HandoverAck,
+    HandoverAsk,
+    HandoverPart,
     HolderRecord,
     LoadReport,
     OpenSearch,
@@ -56,6 +59,9 @@
     finder: FlowFinder = field(init=False)
     front: FrontEnd = field(init=False)
     link: TargetLink | None = None
+    # The request core's part of a planned restart: octets out, octets in.
+    export_ledger: Callable[[], bytes] = bytes
+    import_ledger: Callable[[bytes], None] = len
 
     def __attrs_post_init__(self) -> None:
         """Builds the finder and the front end of the service."""
@@ -64,7 +70,9 @@
             ServiceName(self.target.team, self.target.service),
             policies.get(_DEFAULT_SERVICE.placement),
             self._probe,
+            self.context.me.incarnation,
         )
+        self.finder.opener.random = self.context.random
         self.front = fronts.get(_DEFAULT_SERVICE.front)(
             self.context,
             self.finder,
@@ -72,18 +80,9 @@
 
     def on_message(self, message: Any, now_s: float) -> None:
         """Takes a decoded message of the traffic family."""
-        if isinstance(message, Steered):
-            actions = self.finder.on_steered(message, now_s)
-            if actions and isinstance(actions[0], Deliver):
-                labels = (self.target.team, self.target.service)
-                HOPS.labels(*labels).observe(message.hop_count)
-            self.perform(actions, now_s)
-        elif isinstance(message, OpenSearch):
-            self.perform(self.finder.on_open(message, now_s), now_s)
-        elif isinstance(message, HolderRecord):
-            self.perform(self.finder.on_record(message, now_s), now_s)
-        elif isinstance(message, RecordAck):
-            self.finder.on_ack(message)
+        name = type(message).__name__
+        if name in takers:
+            self.perform(takers.get(name)(self, message, now_s), now_s)
 
     def on_view(self, view: View) -> None:
         """Takes a new view."""
@@ -96,7 +95,7 @@
         service = team.services.get(self.target.service) if team else None
         if service is None:
             return
-        self.finder.policy = policies.get(service.placement)
+        self.finder.opener.policy = policies.get(service.placement)
         wanted = fronts.get(service.front)
         if not isinstance(self.front, wanted):
             self.front = wanted(self.context, self.finder)
@@ -132,6 +131,82 @@
         return LoadReport(member_id, flow_count, load, can_take)
 
 
+Taker = Callable[[AgentCore, Any, float], list[Action]]
+takers: Registry[Taker] = Registry('traffic message')
+
+
+@takers.register('Steered')
+def _take_steered(
+    core: AgentCore,
+    steered: Steered,
+    now_s: float,
+) -> list[Action]:
+    actions = core.finder.on_steered(steered, now_s)
+    if actions and isinstance(actions[0], Deliver):
+        labels = (core.target.team, core.target.service)
+        HOPS.labels(*labels).observe(steered.hop_count)
+    return actions
+
+
+@takers.register('OpenSearch')
+def _take_open(
+    core: AgentCore,
+    search: OpenSearch,
+    now_s: float,
+) -> list[Action]:
+    return core.finder.on_open(search, now_s)
+
+
+@takers.register('HolderRecord')
+def _take_record(
+    core: AgentCore,
+    record: HolderRecord,
+    now_s: float,
+) -> list[Action]:
+    return core.finder.on_record(record, now_s)
+
+
+@takers.register('RecordAck')
+def _take_ack(
+    core: AgentCore,
+    ack: RecordAck,
+    _now_s: float,
+) -> list[Action]:
+    return core.finder.on_ack(ack)
+
+
+@takers.register('HandoverPart')
+def _take_part(
+    core: AgentCore,
+    part: HandoverPart,
+    now_s: float,
+) -> list[Action]:
+    actions = core.finder.on_part(part, now_s)
+    ledger = core.finder.handover.take_ledger()
+    if ledger:
+        core.import_ledger(ledger)
+    return actions
+
+
+@takers.register('HandoverAck')
+def _take_part_ack(
+    core: AgentCore,
+    ack: HandoverAck,
+    _now_s: float,
+) -> list[Action]:
+    core.finder.handover.on_ack(ack)
+    return []
+
+
+@takers.register('HandoverAsk')
+def _take_ask(
+    core: AgentCore,
+    ask: HandoverAsk,
+    _now_s: float,
+) -> list[Action]:
+    return core.finder.handover.on_ask(ask)
+
+
 performers: Registry[Callable[[AgentCore, Any, float], None]] = Registry(
     'performer',
 )
--- a/cumindrift/traffic/finder.py
+++ b/cumindrift/traffic/finder.py
@@ -1,11 +1,10 @@
-"""Finding and placing flows: the decisions of an agent, without I/O."""
-
-from collections import deque
-from collections.abc import Callable
+"""Finding flows: the decisions of an agent for packets, without I/O."""
 
 from attrs import define, evolve, field
+from cachetools import LRUCache
 
 from cumindrift.code import ResultCode
+from cumindrift.invariant import require
 from cumindrift.membership.view import ServiceName, View
 from cumindrift.traffic.action import (
     Action,
@@ -15,36 +14,30 @@
     SendMessage,
     SendSteered,
 )
-from cumindrift.traffic.candidates import candidates_in
-from cumindrift.traffic.flow import Flow, FlowTable, Record
+from cumindrift.traffic.candidates import CANDIDATE_COUNT
+from cumindrift.traffic.flow import Flow, FlowTable
+from cumindrift.traffic.handover import Handover
 from cumindrift.traffic.message import (
     Candidate,
     FlowHint,
+    FlowRoute,
+    HandoverPart,
     HolderRecord,
-    LoadReport,
     OpenSearch,
     PacketKind,
     RecordAck,
     Steered,
 )
-from cumindrift.traffic.placement import Choice, Policy
-
-HOP_LIMIT = 16
-VIEW_GRACE_S = 30.0
-PENDING_OPEN_S = 3.0
-RECORD_RETRY_S = 0.5
-RECORD_KEEPERS = 2
+from cumindrift.traffic.opening import FlowOpener
+from cumindrift.traffic.placement import LoadProbe, Policy
+from cumindrift.traffic.record import RecordBook
+from cumindrift.traffic.viewpoint import Viewpoint
 
-LoadProbe = Callable[[int], LoadReport]
-
-
-@define(slots=True)
-class OwedRecord:
-    """A record that its keeper has not confirmed yet."""
-
-    keeper: Candidate
-    record: HolderRecord
-    next_s: float
+HOP_LIMIT = 40
+SEARCH_LENGTH_MAX = 16
+HINT_PERIOD_S = 1.0
+HINTS_NOTED_MAX = 8192
+EXPIRY_PERIOD_S = 1.0
 
 
 @define(slots=True)
@@ -53,86 +46,121 @@
 
     `me` is the agent itself, `probe` tells its load for a number of held
     flows. All methods return actions and touch nothing outside.
+
+    A packet goes along the candidates that its balancer saw, then along
+    those of every view that the agent at the end knows. On the way a
+    keeper's record sends it to the holder; if that holds it no longer, the
+    search goes on after the keeper. A search whose positions only go up
+    ends without a limit on hops; the limit guards against faults.
     """
 
     me: Candidate
     name: ServiceName
     policy: Policy
     probe: LoadProbe
+    incarnation: int = 0
     table: FlowTable = field(factory=FlowTable)
-    view: View = field(factory=View)
-    _former: deque[tuple[View, float]] = field(factory=deque)
-    _pending: dict[bytes, float] = field(factory=dict)
-    _owed: dict[tuple[bytes, int], OwedRecord] = field(factory=dict)
-    _sequence: int = 0
+    point: Viewpoint = field(init=False)
+    book: RecordBook = field(init=False)
+    opener: FlowOpener = field(init=False)
+    handover: Handover = field(init=False)
+    _hinted: LRUCache[tuple[bytes, int], float] = field(
+        factory=lambda: LRUCache(HINTS_NOTED_MAX),
+    )
+    _expiry_s: float = 0.0
+
+    def __attrs_post_init__(self) -> None:
+        """Builds the parts that share the viewpoint and the table."""
+        self.point = Viewpoint(self.me, self.name, self.incarnation)
+        self.book = RecordBook(self.point, self.table)
+        self.opener = FlowOpener(
+            self.point,
+            self.table,
+            self.book,
+            self.policy,
+            self.probe,
+        )
+        self.handover = Handover(self.point, self.table)
 
     def on_steered(self, steered: Steered, now_s: float) -> list[Action]:
         """Delivers a packet, or sends it where its flow may be held."""
         route = steered.route
-        if (route.team, route.service) != (self.name.team, self.name.service):
+        if not self._is_ours(route.team, route.service):
             return [Drop(ResultCode.WRONG_SERVICE)]
         flow = self.table.held.get(route.flow_key)
         if flow is not None:
             return self._deliver(flow, steered, now_s)
         if steered.hop_count >= HOP_LIMIT:
             return [Drop(ResultCode.HOP_LIMIT)]
-        record = self.table.records.get(route.flow_key)
-        if record is not None and record.holder != self.me:
-            return [self._onward(record.holder, steered, steered.position)]
-        return self._next(steered, now_s)
+        return self._search(steered, now_s)
 
     def on_open(self, search: OpenSearch, now_s: float) -> list[Action]:
-        """Places a new flow, or passes its open along with the loads."""
+        """Places a new flow, once it is sure that no agent holds it."""
         route = search.route
-        if (route.team, route.service) != (self.name.team, self.name.service):
+        if not self._is_ours(route.team, route.service):
             return [Drop(ResultCode.WRONG_SERVICE)]
-        if route.flow_key in self.table.held:
-            return [Deliver(route.flow_key, search.packet)]
-        record = self.table.records.get(route.flow_key)
-        if record is not None and record.holder != self.me:
-            return [self._pass_open(search, record.holder, assigned=True)]
-        if self._is_duplicate(search, now_s):
-            return []
-        return self._place(search, now_s)
+        flow = self.table.held.get(route.flow_key)
+        is_on_way = search.searched or search.position or search.assigned
+        if flow is None and is_on_way:
+            return self.opener.on_open(search, now_s)
+        if flow is None and self._may_place(route):
+            return self.opener.on_open(search, now_s)
+        steered = Steered(
+            route,
+            PacketKind.OPEN,
+            0,
+            search.hop_count,
+            search.packet,
+        )
+        return self.on_steered(steered, now_s)
 
     def on_record(self, record: HolderRecord, now_s: float) -> list[Action]:
-        """Keeps a newer record and confirms it."""
-        known = self.table.records.get(record.flow_key)
-        if known is None or known.sequence < record.sequence:
-            if record.held:
-                self.table.records[record.flow_key] = Record(
-                    record.holder,
-                    record.sequence,
-                    now_s,
-                )
-            else:
-                self.table.records.pop(record.flow_key, None)
-        self._pending.pop(record.flow_key, None)
-        ack = RecordAck(record.flow_key, self.me.member_id, record.sequence)
-        return [SendMessage(record.holder.endpoint(), ack)]
-
-    def on_ack(self, ack: RecordAck) -> None:
-        """Strikes off a record that its keeper has."""
-        owed = self._owed.get((ack.flow_key, ack.keeper_id))
-        if owed is not None and owed.record.sequence <= ack.sequence:
-            self._owed.pop((ack.flow_key, ack.keeper_id))
+        """Keeps a record; of two holders the older one goes on."""
+        if not self._is_ours(record.team, record.service):
+            return [Drop(ResultCode.WRONG_SERVICE)]
+        flow = self.table.held.get(record.flow_key)
+        if flow is None or record.holder == self.me:
+            return self._keep_record(record, now_s)
+        if not record.held:
+            return []
+        if not self.book.is_older(flow, record, now_s):
+            self.table.held.pop(record.flow_key)
+            self.opener.forget(record.flow_key)
+            actions = self.book.retract(record.flow_key, flow, now_s)
+            return [*actions, *self.book.on_record(record, now_s)]
+        if record.teller == record.holder:
+            return []
+        return [self.book.disown(record.holder, record.flow_key, now_s)]
+
+    def on_ack(self, ack: RecordAck) -> list[Action]:
+        """Takes a keeper's confirmation."""
+        if self.book.on_ack(ack):
+            return self.opener.on_confirmed(ack.flow_key)
+        return []
+
+    def on_part(self, part: HandoverPart, now_s: float) -> list[Action]:
+        """Takes a part of a handover, of another agent or the own."""
+        is_answer = part.owner == self.me or not part.part_count
+        if not is_answer:
+            return self.handover.on_part(part, now_s)
+        if self.handover.on_return(part, now_s):
+            self.book.on_moved()
+        return []
 
     def on_view(self, view: View, now_s: float) -> list[Action]:
-        """Takes a new view and tells moved keepers who holds their flows."""
-        former = self.view
-        self._former.append((former, now_s + VIEW_GRACE_S))
-        self.view = view
-        actions: list[Action] = []
-        if view.service_version(self.name) == former.service_version(
-            self.name,
-        ):
-            return actions
-        for flow_key in self.table.held:
-            before = self._keepers(former, flow_key)
-            for keeper in self._keepers(view, flow_key):
-                if keeper not in before:
-                    actions.append(self._owe(keeper, flow_key, now_s))
-        return actions
+        """Takes a new view; ticks tell moved keepers, a slice at a time."""
+        before = self.point.view.data_centres_out
+        was_draining = self.point.is_draining()
+        has_changed = self.point.take(view, now_s)
+        if self.point.is_out():
+            self.table.held.clear()
+            self.opener.forget_all()
+            self.book.forget_all()
+        if view.data_centres_out != before:
+            self.book.drop_records_out()
+        if has_changed or self.point.is_draining() != was_draining:
+            self.book.on_moved()
+        return []
 
     def close(self, flow_key: bytes, now_s: float) -> None:
         """Marks a flow as ended; it lingers for late packets."""
@@ -141,180 +169,152 @@
             flow.is_closing = True
             flow.used_s = now_s
 
+    def may_leave(self) -> bool:
+        """Tells whether leaving loses nothing: no flows, records handed on."""
+        return not self.table.held and self.book.is_handed_on()
+
     def tick(self, now_s: float) -> list[Action]:
         """Sends unconfirmed records again and forgets what is over."""
-        self._forget(now_s)
-        actions = [
-            self._owe(keeper, flow_key, now_s)
-            for flow_key in self.table.expire(now_s)
-            for keeper in self._keepers(self.view, flow_key)
-        ]
-        for owed_key, owed in list(self._owed.items()):
-            if owed.keeper.member_id not in self.view.members:
-                self._owed.pop(owed_key)
-            elif owed.next_s <= now_s:
-                owed.next_s = now_s + RECORD_RETRY_S
-                actions.append(
-                    SendMessage(owed.keeper.endpoint(), owed.record),
-                )
+        self.point.expire(now_s)
+        actions = self.opener.tick(now_s)
+        if now_s >= self._expiry_s:
+            self._expiry_s = now_s + EXPIRY_PERIOD_S
+            for flow_key in self.table.over(now_s):
+                flow = self.table.held.pop(flow_key)
+                actions += self.book.retract(flow_key, flow, now_s)
+        actions += self.book.tick(now_s)
+        return [*actions, *self.handover.tick(now_s)]
+
+    def _is_ours(self, team: str, service: str) -> bool:
+        return team == self.name.team and service == self.name.service
+
+    def _may_place(self, route: FlowRoute) -> bool:
+        if route.flow_key in self.table.records:
+            return False
+        return self.point.is_settled(route.view_version)
+
+    def _keep_record(self, record: HolderRecord, now_s: float) -> list[Action]:
+        actions = self.book.on_record(record, now_s)
+        is_query = record.holder not in {record.teller, self.me}
+        if is_query and record.held:
+            # A keeper thought that this agent holds the flow.
+            actions.append(
+                self.book.disown(record.teller, record.flow_key, now_s),
+            )
         return actions
 
-    def _forget(self, now_s: float) -> None:
-        while self._former and self._former[0][1] < now_s:
-            self._former.popleft()
-        for key, until_s in list(self._pending.items()):
-            if until_s < now_s:
-                self._pending.pop(key)
-
     def _deliver(
         self,
         flow: Flow,
         steered: Steered,
         now_s: float,
     ) -> list[Action]:
+        route = steered.route
+        require(not self.point.is_out(), 'delivered while out', me=self.me)
         flow.used_s = now_s
         if steered.kind is PacketKind.CLOSE:
             flow.is_closing = True
-        route = steered.route
+        elif steered.kind is PacketKind.OPEN:
+            flow.is_closing = False
+            if self.opener.is_awaited(route.flow_key):
+                return [Drop(ResultCode.OPEN_PENDING)]
         actions: list[Action] = [Deliver(route.flow_key, steered.packet)]
-        if steered.hop_count:
+        if steered.hop_count and self._may_hint(route, now_s):
             hint = FlowHint(route.service, route.flow_key, self.me, held=True)
             actions.append(SendMessage(route.balancer.endpoint(), hint))
         return actions
 
+    def _may_hint(self, route: FlowRoute, now_s: float) -> bool:
+        noted = (route.flow_key, route.balancer.member_id)
+        if now_s - self._hinted.get(noted, -HINT_PERIOD_S) < HINT_PERIOD_S:
+            return False
+        self._hinted[noted] = now_s
+        return True
+
+    def _search(self, steered: Steered, now_s: float) -> list[Action]:
+        route = steered.route
+        if not self.point.knows(route.view_version, now_s):
+            steered = evolve(steered, is_unsure=True)
+        asked = route.candidates[steered.position]
+        if steered.by_record:
+            if self.handover.is_recovering(now_s):
+                return [Drop(ResultCode.SEARCH_UNSURE)]
+            onward = evolve(steered, by_record=False)
+            disown = self.book.disown(asked, route.flow_key, now_s)
+            return [disown, *self._next(onward, now_s)]
+        if asked != self.me and not steered.hop_count:
+            # A balancer's hint was wrong: the search starts at the home.
+            return self._restart(steered, now_s)
+        record = self.table.records.get(route.flow_key)
+        if record is None or record.holder == self.me:
+            return self._next(steered, now_s)
+        if self.point.is_member_out(record.holder):
+            # It may be back in by a view that has not come here yet.
+            return self._next(evolve(steered, is_unsure=True), now_s)
+        return [self._onward(record.holder, evolve(steered, by_record=True))]
+
+    def _restart(self, steered: Steered, now_s: float) -> list[Action]:
+        home = steered.route.candidates[0]
+        if self.point.is_member_out(home):
+            return self._next(steered, now_s)
+        return [self._onward(home, steered)]
+
     def _next(self, steered: Steered, now_s: float) -> list[Action]:
-        candidates = steered.route.candidates
+        """Sends a packet to the next candidate, or ends its search."""
         position = steered.position + 1
-        if position < len(candidates):
-            return [self._onward(candidates[position], steered, position)]
-        for view in self._other_views(now_s):
-            own = candidates_in(view, self.name, steered.route.flow_key)
-            if own and own != candidates:
-                return self._search_again(steered, own)
-        if steered.kind is PacketKind.WITHIN_OR_OPEN:
-            search = OpenSearch(steered.route, 0, 0, False, (), steered.packet)
-            return self._route_open(search, now_s)
+        if position >= len(steered.route.candidates):
+            steered = self._lengthen(steered)
+        candidates = steered.route.candidates
+        while position < len(candidates):
+            following = candidates[position]
+            if following != self.me and not self.point.is_member_out(following):
+                onward = evolve(steered, position=position)
+                return [self._onward(following, onward)]
+            position += 1
+            if position == len(candidates):
+                steered = self._lengthen(steered)
+                candidates = steered.route.candidates
+        return self._end(steered, now_s)
+
+    def _lengthen(self, steered: Steered) -> Steered:
+        """Adds the candidates of all known views that are not asked yet."""
+        known = dict.fromkeys(steered.route.candidates)
+        for candidates in self.point.lists(steered.route.flow_key):
+            known.update(dict.fromkeys(candidates))
+        if len(known) == len(steered.route.candidates):
+            return steered
+        longer = tuple(known)[:SEARCH_LENGTH_MAX]
+        return evolve(steered, route=evolve(steered.route, candidates=longer))
+
+    def _end(self, steered: Steered, now_s: float) -> list[Action]:
+        kind = steered.kind
+        is_open = kind is PacketKind.OPEN
+        if not is_open and steered.is_unsure:
+            return [Drop(ResultCode.SEARCH_UNSURE)]
+        if is_open or kind is PacketKind.WITHIN_OR_OPEN:
+            return self._open(steered, now_s)
         return [Refuse(steered.packet, ResultCode.NO_SUCH_FLOW)]
 
-    def _search_again(
-        self,
-        steered: Steered,
-        own: tuple[Candidate, ...],
-    ) -> list[Action]:
-        if steered.hop_count >= len(steered.route.candidates) + len(own):
-            return [Refuse(steered.packet, ResultCode.NO_SUCH_FLOW)]
-        route = evolve(steered.route, candidates=own)
-        again = evolve(steered, route=route)
-        return [self._onward(own[0], again, 0)]
-
-    def _other_views(self, now_s: float) -> list[View]:
-        former = [view for view, until_s in self._former if until_s >= now_s]
-        return [self.view, *reversed(former)]
-
-    def _onward(
-        self,
-        holder: Candidate,
-        steered: Steered,
-        position: int,
-    ) -> Action:
-        onward = evolve(
-            steered,
-            position=position,
-            hop_count=steered.hop_count + 1,
+    def _open(self, steered: Steered, now_s: float) -> list[Action]:
+        route = steered.route
+        candidates = self.point.candidates(route.flow_key)
+        if not candidates:
+            candidates = route.candidates[:CANDIDATE_COUNT]
+        route = evolve(route, candidates=candidates)
+        search = OpenSearch(
+            route,
+            0,
+            steered.hop_count,
+            assigned=False,
+            reports=(),
+            packet=steered.packet,
+            searched=True,
         )
-        return SendSteered(holder.endpoint(), onward)
-
-    def _is_duplicate(self, search: OpenSearch, now_s: float) -> bool:
-        if search.position or search.assigned:
-            return False
-        flow_key = search.route.flow_key
-        if self._pending.get(flow_key, 0.0) >= now_s:
-            return True
-        self._pending[flow_key] = now_s + PENDING_OPEN_S
-        return False
-
-    def _route_open(self, search: OpenSearch, now_s: float) -> list[Action]:
-        home = search.route.candidates[0]
+        home = candidates[0]
         if home == self.me:
-            return self.on_open(search, now_s)
+            return self.opener.on_open(search, now_s)
         return [SendMessage(home.endpoint(), search)]
 
-    def _place(self, search: OpenSearch, now_s: float) -> list[Action]:
-        report = self.probe(len(self.table.held))
-        if search.assigned and report.can_take:
-            return self._take(search, now_s)
-        reports = (*search.reports, report)
-        left = len(search.route.candidates) - search.position - 1
-        if search.assigned:
-            # The lightest filled up meanwhile; those after it are not asked.
-            return [Refuse(search.packet, ResultCode.NO_ROOM)]
-        decision = self.policy(reports, left)
-        if decision.choice is Choice.TAKE:
-            return self._take(search, now_s)
-        if decision.choice is Choice.REFUSE:
-            return [Refuse(search.packet, ResultCode.NO_ROOM)]
-        grown = evolve(search, reports=reports)
-        if decision.choice is Choice.PASS:
-            following = search.route.candidates[search.position + 1]
-            return [self._pass_open(grown, following, assigned=False)]
-        chosen = next(
-            candidate
-            for candidate in search.route.candidates
-            if candidate.member_id == decision.member_id
-        )
-        return [self._pass_open(grown, chosen, assigned=True)]
-
-    def _pass_open(
-        self,
-        search: OpenSearch,
-        following: Candidate,
-        *,
-        assigned: bool,
-    ) -> Action:
-        if search.hop_count >= HOP_LIMIT:
-            return Drop(ResultCode.HOP_LIMIT)
-        onward = evolve(
-            search,
-            position=search.position + 1,
-            hop_count=search.hop_count + 1,
-            assigned=assigned,
-        )
-        return SendMessage(following.endpoint(), onward)
-
-    def _take(self, search: OpenSearch, now_s: float) -> list[Action]:
-        route = search.route
-        self.table.held[route.flow_key] = Flow(now_s, now_s)
-        actions: list[Action] = [Deliver(route.flow_key, search.packet)]
-        for keeper in route.candidates[:RECORD_KEEPERS]:
-            if keeper != self.me:
-                actions.append(self._owe(keeper, route.flow_key, now_s))
-        if route.candidates[0] != self.me:
-            hint = FlowHint(route.service, route.flow_key, self.me, held=True)
-            actions.append(SendMessage(route.balancer.endpoint(), hint))
-        return actions
-
-    def _keepers(self, view: View, flow_key: bytes) -> tuple[Candidate, ...]:
-        ranked = candidates_in(view, self.name, flow_key)[:RECORD_KEEPERS]
-        return tuple(keeper for keeper in ranked if keeper != self.me)
-
-    def _owe(
-        self,
-        keeper: Candidate,
-        flow_key: bytes,
-        now_s: float,
-    ) -> Action:
-        self._sequence += 1
-        record = HolderRecord(
-            self.name.team,
-            self.name.service,
-            flow_key,
-            self.me,
-            self._sequence,
-            held=flow_key in self.table.held,
-        )
-        self._owed[flow_key, keeper.member_id] = OwedRecord(
-            keeper,
-            record,
-            now_s + RECORD_RETRY_S,
-        )
-        return SendMessage(keeper.endpoint(), record)
+    def _onward(self, agent: Candidate, steered: Steered) -> Action:
+        onward = evolve(steered, hop_count=steered.hop_count + 1)
+        return SendSteered(agent.endpoint(), onward)
--- a/cumindrift/traffic/flow.py
+++ b/cumindrift/traffic/flow.py
@@ -6,7 +6,8 @@
 
 FLOW_IDLE_S = 4 * 3600.0
 CLOSED_LINGER_S = 30.0
-RECORD_IDLE_S = 6 * 3600.0
+TOLD_MAX = 6
+RECORDS_MAX = 65_536
 
 
 @define(slots=True)
@@ -16,43 +17,56 @@
     opened_s: float
     used_s: float
     is_closing: bool = False
+    # Ids of the members that were told who holds the flow, oldest first.
+    told: tuple[int, ...] = ()
 
     @property
     def kept_s(self) -> float:
         """How long the flow is kept after its last packet."""
         return CLOSED_LINGER_S if self.is_closing else FLOW_IDLE_S
 
+    def note_told(self, member_id: int) -> None:
+        """Notes that a member was told."""
+        if member_id not in self.told:
+            self.told = (*self.told, member_id)[-TOLD_MAX:]
+
 
 @define(slots=True)
 class Record:
     """Who holds a flow, as told by its holder."""
 
     holder: Candidate
+    incarnation: int
     sequence: int
     told_s: float
+    opened_s: float
+    # Whether its next keepers were told, by an agent that is leaving.
+    is_handed_on: bool = False
+
+    def order(self) -> tuple[int, int]:
+        """Returns what orders the records of one holder."""
+        return (self.incarnation, self.sequence)
 
 
 @define(slots=True)
 class FlowTable:
-    """The flows of one agent, by key; used by its finder."""
+    """The flows of one agent, by key; used by its finder and its records."""
 
     held: dict[bytes, Flow] = field(factory=dict)
     records: dict[bytes, Record] = field(factory=dict)
 
-    def expire(self, now_s: float) -> list[bytes]:
-        """Forgets what was idle too long; returns the held keys among it."""
-        ended = [
+    def over(self, now_s: float) -> list[bytes]:
+        """Returns the held keys that were idle too long."""
+        return [
             key
             for key, flow in self.held.items()
             if now_s - flow.used_s > flow.kept_s
         ]
-        for key in ended:
-            self.held.pop(key)
-        stale = [
-            key
-            for key, record in self.records.items()
-            if now_s - record.told_s > RECORD_IDLE_S
-        ]
-        for key in stale:
-            self.records.pop(key)
-        return ended
+
+    def keep(self, flow_key: bytes, record: Record) -> bool:
+        """Keeps a record; False when there are too many."""
+        is_new = flow_key not in self.records
+        if is_new and len(self.records) >= RECORDS_MAX:
+            return False
+        self.records[flow_key] = record
+        return True
--- a/cumindrift/traffic/frame.py
+++ b/cumindrift/traffic/frame.py
@@ -15,8 +15,10 @@
 STEERED_FAMILY = 1
 ROUTE_CACHE_ENTRIES = 65536
 
-# family, kind, position, hop count, octets of the route message
-_PREFIX = Struct('>BBBBH')
+# family, kind, position, hop count, flags, octets of the route message
+_PREFIX = Struct('>BBBBBH')
+_BY_RECORD = 0x1
+_UNSURE = 0x2
 
 
 class SteeredCodec:
@@ -47,29 +49,40 @@
             steered.position,
             steered.hop_count,
             steered.packet,
+            steered.by_record * _BY_RECORD | steered.is_unsure * _UNSURE,
         )
 
     def decode(self, frame: bytes) -> Steered:
         """Returns the steered packet in a frame; raises WireError."""
         if len(frame) < _PREFIX.size:
             raise WireError('a steered frame is cut short')
-        _, kind, position, hop_count, size = _PREFIX.unpack_from(frame)
+        _, kind, position, hop_count, *rest = _PREFIX.unpack_from(frame)
+        marks, size = rest
         body_start = _PREFIX.size + size
-        octets = frame[_PREFIX.size : body_start]
-        route = self._decoded.get(octets)
-        if route is None:
-            route = traffic.decode(octets)
-            if not isinstance(route, FlowRoute):
-                raise WireError('a steered frame holds no route')
-            self._decoded[octets] = route
+        route = self._decode_route(frame[_PREFIX.size : body_start])
         try:
             packet_kind = PacketKind(kind)
         except ValueError as error:
             raise WireError(str(error)) from error
         return Steered(
-            route, packet_kind, position, hop_count, frame[body_start:]
+            route,
+            packet_kind,
+            position,
+            hop_count,
+            frame[body_start:],
+            bool(marks & _BY_RECORD),
+            bool(marks & _UNSURE),
         )
 
+    def _decode_route(self, octets: bytes) -> FlowRoute:
+        route = self._decoded.get(octets)
+        if route is None:
+            route = traffic.decode(octets)
+            if not isinstance(route, FlowRoute):
+                raise WireError('a steered frame holds no route')
+            self._decoded[octets] = route
+        return route
+
 
 def frame_packet(
     route: bytes,
@@ -77,7 +90,15 @@
     position: int,
     hop_count: int,
     packet: bytes,
+    marks: int = 0,
 ) -> bytes:
     """Returns a frame from a route that is already encoded."""
-    prefix = _PREFIX.pack(STEERED_FAMILY, kind, position, hop_count, len(route))
+    prefix = _PREFIX.pack(
+        STEERED_FAMILY,
+        kind,
+        position,
+        hop_count,
+        marks,
+        len(route),
+    )
     return prefix + route + packet
--- /dev/null
+++ b/cumindrift/traffic/handover.py
@@ -0,0 +1,255 @@
+"""Planned restarts: flows and ledger left to members and taken back."""
+
+from collections.abc import Iterable
+
+from attrs import define, field
+
+from cumindrift.traffic.action import Action, SendMessage
+from cumindrift.traffic.flow import Flow, FlowTable
+from cumindrift.traffic.message import (
+    Candidate,
+    HandoverAck,
+    HandoverAsk,
+    HandoverPart,
+)
+from cumindrift.traffic.viewpoint import Viewpoint
+
+KEYS_PER_PART = 48
+LEDGER_BYTES_PER_PART = 1000
+PARTS_PER_TICK = 64
+KEEPER_COUNT = 2
+RETRY_S = 0.2
+RECOVERY_S = 3.0
+KEPT_S = 600.0
+OWNERS_MAX = 32
+PARTS_MAX = 20_000
+
+
+@define(slots=True)
+class LeftBehind:
+    """What a restarting agent left here, by part number."""
+
+    incarnation: int
+    kept_s: float
+    parts: dict[int, HandoverPart] = field(factory=dict)
+
+    def is_whole(self) -> bool:
+        """Tells whether every part is there."""
+        return any(
+            len(self.parts) == part.part_count for part in self.parts.values()
+        )
+
+
+@define(slots=True)
+class OwedPart:
+    """A part that one keeper has not confirmed yet."""
+
+    keeper: Candidate
+    part: HandoverPart
+    next_s: float = 0.0
+
+
+@define(slots=True)
+class Handover:
+    """Hands flows and an opaque ledger over a planned restart.
+
+    Used by the finder. The stopping incarnation sends numbered parts to
+    two members of its service; the next one asks all of them at its start
+    and serves the flows on. Until that is settled it is unsure of flows
+    that it does not hold.
+    """
+
+    point: Viewpoint
+    table: FlowTable
+    ledger: bytes = b''
+    is_started: bool = False
+    _owed: dict[tuple[int, int], OwedPart] = field(factory=dict)
+    _kept: dict[int, LeftBehind] = field(factory=dict)
+    _returned: LeftBehind | None = None
+    _answered: set[int] = field(factory=set)
+    _recovery_until_s: float | None = None
+    _next_s: float = 0.0
+    _is_recovered: bool = False
+
+    def start(self, ledger: bytes) -> None:
+        """Cuts flows and ledger into parts for two members."""
+        self.is_started = True
+        parts = self._cut(ledger)
+        others = [
+            member
+            for member in self.point.view.targets(self.point.name)
+            if member.member_id != self.point.me.member_id
+        ]
+        me = self.point.me
+        others.sort(key=lambda member: member.member_id ^ me.member_id)
+        for member in others[:KEEPER_COUNT]:
+            keeper = Candidate(member.member_id, *member.endpoint.pair())
+            for part in parts:
+                owed = OwedPart(keeper, part)
+                self._owed[keeper.member_id, part.number] = owed
+
+    def is_over(self) -> bool:
+        """Tells whether one keeper has confirmed every part."""
+        waiting = {keeper_id for keeper_id, _number in self._owed}
+        return self.is_started and len(waiting) < KEEPER_COUNT
+
+    def is_recovering(self, now_s: float) -> bool:
+        """Tells whether flows of a former incarnation may yet return."""
+        if self._is_recovered:
+            return False
+        until_s = self._recovery_until_s
+        return until_s is None or now_s < until_s
+
+    def on_ack(self, ack: HandoverAck) -> None:
+        """Strikes off a part."""
+        if ack.incarnation == self.point.incarnation:
+            self._owed.pop((ack.keeper_id, ack.number), None)
+
+    def on_part(self, part: HandoverPart, now_s: float) -> list[Action]:
+        """Keeps a part for its owner, or takes the own one back."""
+        if part.owner.member_id == self.point.me.member_id:
+            return []
+        left = self._kept.get(part.owner.member_id)
+        if left is None or left.incarnation < part.incarnation:
+            if len(self._kept) >= OWNERS_MAX:
+                return []
+            left = LeftBehind(part.incarnation, now_s)
+            self._kept[part.owner.member_id] = left
+        if left.incarnation > part.incarnation or len(left.parts) >= PARTS_MAX:
+            return []
+        left.parts[part.number] = part
+        left.kept_s = now_s
+        ack = HandoverAck(
+            self.point.me.member_id,
+            part.incarnation,
+            part.number,
+        )
+        return [SendMessage(part.owner.endpoint(), ack)]
+
+    def on_ask(self, ask: HandoverAsk) -> list[Action]:
+        """Answers with parts from the number asked for, or with none."""
+        left = self._kept.get(ask.owner.member_id)
+        if left is not None and left.incarnation >= ask.incarnation:
+            left = None
+        if ask.is_done:
+            if left is not None:
+                self._kept.pop(ask.owner.member_id)
+            return []
+        if left is None or not left.is_whole():
+            none = HandoverPart(self.point.me, 0, 0, 0, (), b'')
+            return [SendMessage(ask.owner.endpoint(), none)]
+        last = ask.first_number + PARTS_PER_TICK
+        return [
+            SendMessage(
+                ask.owner.endpoint(),
+                left.parts[number],
+            )
+            for number in range(ask.first_number, last)
+            if number in left.parts
+        ]
+
+    def on_return(self, part: HandoverPart, now_s: float) -> bool:
+        """Takes an answer to an ask; True when all flows are back."""
+        if self._is_recovered:
+            return False
+        if not part.part_count:
+            self._answered.add(part.owner.member_id)
+            return False
+        if part.incarnation >= self.point.incarnation:
+            return False
+        returned = self._returned
+        if returned is None or returned.incarnation < part.incarnation:
+            returned = LeftBehind(part.incarnation, now_s)
+            self._returned = returned
+        if returned.incarnation == part.incarnation:
+            returned.parts[part.number] = part
+        if not returned.is_whole():
+            return False
+        self._take_back(returned, now_s)
+        return True
+
+    def take_ledger(self) -> bytes:
+        """Returns the ledger that came back, once."""
+        ledger = self.ledger
+        self.ledger = b''
+        return ledger
+
+    def tick(self, now_s: float) -> list[Action]:
+        """Sends parts again, asks for the own ones, forgets old ones."""
+        for owner_id, left in list(self._kept.items()):
+            if now_s - left.kept_s > KEPT_S:
+                self._kept.pop(owner_id)
+        return [*self._send_owed(now_s), *self._ask(now_s)]
+
+    def _send_owed(self, now_s: float) -> list[Action]:
+        due = [owed for owed in self._owed.values() if owed.next_s <= now_s]
+        actions: list[Action] = []
+        for owed in due[:PARTS_PER_TICK]:
+            owed.next_s = now_s + RETRY_S
+            actions.append(SendMessage(owed.keeper.endpoint(), owed.part))
+        return actions
+
+    def _ask(self, now_s: float) -> list[Action]:
+        others = [
+            member
+            for member in self.point.view.targets(self.point.name)
+            if member.member_id != self.point.me.member_id
+        ]
+        if self._recovery_until_s is None:
+            if not self.point.view.members:
+                return []
+            self._recovery_until_s = now_s + RECOVERY_S
+        if now_s < self._next_s or now_s >= self._recovery_until_s:
+            return []
+        self._next_s = now_s + RETRY_S
+        ask = HandoverAsk(
+            self.point.me,
+            self.point.incarnation,
+            self._first_missing(),
+            self._is_recovered,
+        )
+        return [
+            SendMessage(member.endpoint, ask)
+            for member in others
+            if member.member_id not in self._answered
+        ]
+
+    def _first_missing(self) -> int:
+        number = 0
+        while self._returned is not None and number in self._returned.parts:
+            number += 1
+        return number
+
+    def _take_back(self, returned: LeftBehind, now_s: float) -> None:
+        self._is_recovered = True
+        ordered = [returned.parts[number] for number in sorted(returned.parts)]
+        self.ledger = b''.join(part.ledger for part in ordered)
+        for part in ordered:
+            for flow_key in part.flow_keys:
+                self.table.held.setdefault(flow_key, Flow(now_s, now_s))
+                self.table.records.pop(flow_key, None)
+
+    def _cut(self, ledger: bytes) -> list[HandoverPart]:
+        keys = list(self.table.held)
+        contents: list[tuple[tuple[bytes, ...], bytes]] = [
+            (tuple(keys[start : start + KEYS_PER_PART]), b'')
+            for start in _starts(len(keys), KEYS_PER_PART)
+        ]
+        contents += [
+            ((), ledger[start : start + LEDGER_BYTES_PER_PART])
+            for start in _starts(len(ledger), LEDGER_BYTES_PER_PART)
+        ]
+        return [
+            HandoverPart(
+                self.point.me,
+                self.point.incarnation,
+                number,
+                len(contents),
+                *content,
+            )
+            for number, content in enumerate(contents)
+        ]
+
+
+def _starts(size: int, step: int) -> Iterable[int]:
+    return range(0, size, step)
--- a/cumindrift/traffic/message.py
+++ b/cumindrift/traffic/message.py
@@ -56,6 +56,10 @@
     position: int
     hop_count: int
     packet: bytes
+    # Sent by a keeper's record; the receiver is not the next candidate.
+    by_record: bool = False
+    # Some agent on the way could not tell; the end must not refuse.
+    is_unsure: bool = False
 
 
 @define(frozen=True, slots=True)
@@ -79,19 +83,28 @@
     assigned: bool
     reports: tuple[LoadReport, ...]
     packet: bytes
+    # All known candidates were asked: no agent holds the flow.
+    searched: bool = False
 
 
 @traffic.message('holderRecord')
 @define(frozen=True, slots=True)
 class HolderRecord:
-    """Tells a candidate who holds a flow, or with `held` unset no more."""
+    """Tells a candidate who holds a flow, or with `held` unset no more.
+
+    Records of one holder order by incarnation and sequence. `teller` is
+    the one to confirm to: the holder, or a keeper that hands records on.
+    """
 
     team: str
     service: str
     flow_key: bytes
     holder: Candidate
+    incarnation: int
     sequence: int
+    age_ms: int
     held: bool
+    teller: Candidate
 
 
 @traffic.message('recordAck')
@@ -113,3 +126,40 @@
     flow_key: bytes
     holder: Candidate
     held: bool
+
+
+@traffic.message('handoverPart')
+@define(frozen=True, slots=True)
+class HandoverPart:
+    """A numbered part of what an agent leaves to its next incarnation."""
+
+    owner: Candidate
+    incarnation: int
+    number: int
+    part_count: int
+    flow_keys: tuple[bytes, ...]
+    ledger: bytes
+
+
+@traffic.message('handoverAck')
+@define(frozen=True, slots=True)
+class HandoverAck:
+    """Confirms one part."""
+
+    keeper_id: int
+    incarnation: int
+    number: int
+
+
+@traffic.message('handoverAsk')
+@define(frozen=True, slots=True)
+class HandoverAsk:
+    """Asks for the parts that the former incarnation left.
+
+    With `is_done` set they were taken back and must be forgotten.
+    """
+
+    owner: Candidate
+    incarnation: int
+    first_number: int
+    is_done: bool
--- /dev/null
+++ b/cumindrift/traffic/opening.py
@@ -0,0 +1,205 @@
+"""Opening flows: which target of the service takes a new one."""
+
+from random import Random
+
+from attrs import define, evolve, field
+
+from cumindrift.code import ResultCode
+from cumindrift.traffic.action import (
+    Action,
+    Deliver,
+    Drop,
+    Refuse,
+    SendMessage,
+)
+from cumindrift.traffic.flow import Flow, FlowTable
+from cumindrift.traffic.message import (
+    Candidate,
+    FlowHint,
+    LoadReport,
+    OpenSearch,
+)
+from cumindrift.traffic.placement import (
+    Choice,
+    LoadProbe,
+    Policy,
+    assign_lightest,
+)
+from cumindrift.traffic.record import RecordBook
+from cumindrift.traffic.viewpoint import RECORD_KEEPERS, Viewpoint
+
+OPEN_HOP_LIMIT = 24
+PENDING_OPEN_S = 0.5
+PENDING_OPENS_MAX = 4096
+CONFIRM_WITHIN_S = 0.4
+
+
+@define(slots=True)
+class AwaitedOpen:
+    """An opening packet that waits for the flow's records to stand."""
+
+    packet: bytes
+    until_s: float
+
+
+@define(slots=True)
+class FlowOpener:
+    """Places new flows of one service; used by the finder.
+
+    The opening packet is delivered once the keepers have confirmed the
+    record, so that a flow is found from its first answer on.
+    """
+
+    point: Viewpoint
+    table: FlowTable
+    book: RecordBook
+    policy: Policy
+    probe: LoadProbe
+    random: Random = field(factory=Random)
+    opened_count: int = 0
+    _pending: dict[bytes, float] = field(factory=dict)
+    _awaited: dict[bytes, AwaitedOpen] = field(factory=dict)
+
+    def on_open(self, search: OpenSearch, now_s: float) -> list[Action]:
+        """Takes a flow that no agent holds, or passes its open along."""
+        if self._is_duplicate(search, now_s):
+            return [Drop(ResultCode.OPEN_PENDING)]
+        report = self._report()
+        if search.assigned:
+            return self._take_assigned(search, report, now_s)
+        reports = (*search.reports, report)
+        left = len(search.route.candidates) - search.position - 1
+        decision = self.policy(reports, left, self.random)
+        grown = evolve(search, reports=reports)
+        if decision.choice is Choice.TAKE:
+            return self._take(grown, now_s)
+        if decision.choice is Choice.REFUSE:
+            return [Refuse(search.packet, ResultCode.NO_ROOM)]
+        if decision.choice is Choice.PASS:
+            following = search.route.candidates[search.position + 1]
+            return [self._pass_on(grown, following)]
+        return [self._assign(grown, decision.member_id)]
+
+    def on_confirmed(self, flow_key: bytes) -> list[Action]:
+        """Delivers the opening packet when all keepers have the record."""
+        flow = self.table.held.get(flow_key)
+        if flow_key not in self._awaited or flow is None:
+            return []
+        if self.book.is_owed(flow_key, flow):
+            return []
+        return [Deliver(flow_key, self._awaited.pop(flow_key).packet)]
+
+    def is_awaited(self, flow_key: bytes) -> bool:
+        """Tells whether a flow's opening packet is yet to be delivered."""
+        return flow_key in self._awaited
+
+    def forget(self, flow_key: bytes) -> None:
+        """Drops an opening packet whose flow is held elsewhere."""
+        self._awaited.pop(flow_key, None)
+
+    def forget_all(self) -> None:
+        """Drops all opens: the data centre was taken out."""
+        self._pending.clear()
+        self._awaited.clear()
+
+    def tick(self, now_s: float) -> list[Action]:
+        """Delivers what waited too long for a keeper that is not there."""
+        for key, until_s in list(self._pending.items()):
+            if until_s < now_s:
+                self._pending.pop(key)
+        late = [
+            key
+            for key, awaited in self._awaited.items()
+            if awaited.until_s < now_s
+        ]
+        return [Deliver(key, self._awaited.pop(key).packet) for key in late]
+
+    def _report(self) -> LoadReport:
+        report = self.probe(len(self.table.held))
+        if self.point.is_out() or self.point.is_draining():
+            return evolve(report, can_take=False)
+        return report
+
+    def _is_duplicate(self, search: OpenSearch, now_s: float) -> bool:
+        if search.position or search.assigned:
+            return False
+        flow_key = search.route.flow_key
+        if self._pending.get(flow_key, 0.0) >= now_s:
+            return True
+        if len(self._pending) >= PENDING_OPENS_MAX:
+            self._pending.pop(next(iter(self._pending)))
+        self._pending[flow_key] = now_s + PENDING_OPEN_S
+        return False
+
+    def _take_assigned(
+        self,
+        search: OpenSearch,
+        report: LoadReport,
+        now_s: float,
+    ) -> list[Action]:
+        if report.can_take:
+            return self._take(search, now_s)
+        # Filled up since it reported: the next lightest is asked.
+        others = tuple(
+            other
+            for other in search.reports
+            if other.member_id != self.point.me.member_id
+        )
+        decision = assign_lightest(others)
+        if decision.choice is Choice.REFUSE:
+            return [Refuse(search.packet, ResultCode.NO_ROOM)]
+        return [
+            self._assign(evolve(search, reports=others), decision.member_id)
+        ]
+
+    def _assign(self, search: OpenSearch, member_id: int) -> Action:
+        chosen = next(
+            candidate
+            for candidate in search.route.candidates
+            if candidate.member_id == member_id
+        )
+        return self._pass_on(evolve(search, assigned=True), chosen)
+
+    def _pass_on(self, search: OpenSearch, following: Candidate) -> Action:
+        if search.hop_count >= OPEN_HOP_LIMIT:
+            return Drop(ResultCode.HOP_LIMIT)
+        onward = evolve(
+            search,
+            position=search.position + (not search.assigned),
+            hop_count=search.hop_count + 1,
+        )
+        return SendMessage(following.endpoint(), onward)
+
+    def _take(self, search: OpenSearch, now_s: float) -> list[Action]:
+        route = search.route
+        flow_key = route.flow_key
+        self.table.held[flow_key] = Flow(now_s, now_s)
+        self.table.records.pop(flow_key, None)
+        self.opened_count += 1
+        keepers = {
+            keeper.member_id: keeper
+            for keeper in (
+                *route.candidates[:RECORD_KEEPERS],
+                *self.point.keepers(flow_key),
+            )
+            if keeper != self.point.me and not self.point.is_gone(keeper)
+        }
+        actions: list[Action] = [
+            self.book.tell(keeper, flow_key, now_s)
+            for keeper in keepers.values()
+        ]
+        if not actions:
+            return [Deliver(flow_key, search.packet)]
+        self._awaited[flow_key] = AwaitedOpen(
+            search.packet,
+            now_s + CONFIRM_WITHIN_S,
+        )
+        if route.candidates[0] != self.point.me:
+            hint = FlowHint(
+                route.service,
+                flow_key,
+                self.point.me,
+                held=True,
+            )
+            actions.append(SendMessage(route.balancer.endpoint(), hint))
+        return actions
--- a/cumindrift/traffic/steering.py
+++ b/cumindrift/traffic/steering.py
@@ -98,11 +98,15 @@
         entry = self._entries.get(hint.flow_key)
         if entry is None or entry.route.service != hint.service:
             return
-        if hint.held and hint.holder.member_id in self.view.members:
+        if hint.held and self._may_steer_to(hint.holder):
             entry.pair = (hint.holder.ip, hint.holder.port)
         elif entry.route.candidates:
             entry.pair = entry.route.candidates[0].endpoint().pair()
 
+    def _may_steer_to(self, holder: Candidate) -> bool:
+        member = self.view.members.get(holder.member_id)
+        return member is not None and not self.view.is_out(member)
+
     def steer(self, packet: bytes) -> SteerTo | OpenAt | Dropped:
         """Decides where one packet of the fabric goes."""
         flow_key = peek_flow_key(packet)
--- /dev/null
+++ b/cumindrift/traffic/viewpoint.py
@@ -0,0 +1,118 @@
+"""Viewpoint: what one agent believes of its service's targets, and when."""
+
+from collections import deque
+from collections.abc import Iterator
+
+from attrs import define, field
+
+from cumindrift.membership.member import MemberState
+from cumindrift.membership.view import ServiceName, View
+from cumindrift.traffic.candidates import candidates_in
+from cumindrift.traffic.message import Candidate
+
+VIEW_GRACE_S = 30.0
+STRANGE_GRACE_S = 5.0
+FORMER_VIEWS_MAX = 8
+STRANGE_VERSIONS_MAX = 8
+RECORD_KEEPERS = 2
+
+
+@define(slots=True)
+class Viewpoint:
+    """The current view of a service and those before it, within grace.
+
+    Shared by the finder of an agent and its record book. Former views are
+    kept because balancers and other agents may still work by them.
+    """
+
+    me: Candidate
+    name: ServiceName
+    incarnation: int
+    view: View = field(factory=View)
+    _former: deque[tuple[View, float]] = field(factory=deque)
+    _strange: dict[int, float] = field(factory=dict)
+
+    def take(self, view: View, now_s: float) -> bool:
+        """Takes a view; True when the service's candidates changed."""
+        former = self.view
+        self.view = view
+        if view.service_version(self.name) == former.service_version(
+            self.name,
+        ):
+            return False
+        self._former.append((former, now_s + VIEW_GRACE_S))
+        if len(self._former) > FORMER_VIEWS_MAX:
+            self._former.popleft()
+        return True
+
+    def expire(self, now_s: float) -> None:
+        """Forgets views whose grace is over."""
+        while self._former and self._former[0][1] < now_s:
+            self._former.popleft()
+
+    def candidates(self, flow_key: bytes) -> tuple[Candidate, ...]:
+        """Returns the flow's candidates in the current view."""
+        return candidates_in(self.view, self.name, flow_key)
+
+    def keepers(self, flow_key: bytes) -> tuple[Candidate, ...]:
+        """Returns who must know the holder of a flow, without this agent.
+
+        An agent that is leaving names those that follow it.
+        """
+        ranked = self.candidates(flow_key)
+        if self.is_draining():
+            others = tuple(keeper for keeper in ranked if keeper != self.me)
+            return others[:RECORD_KEEPERS]
+        return tuple(
+            keeper for keeper in ranked[:RECORD_KEEPERS] if keeper != self.me
+        )
+
+    def lists(self, flow_key: bytes) -> Iterator[tuple[Candidate, ...]]:
+        """Returns the flow's candidates in every known view, newest first."""
+        yield self.candidates(flow_key)
+        for view, _until_s in reversed(self._former):
+            yield candidates_in(view, self.name, flow_key)
+
+    def is_settled(self, version: int) -> bool:
+        """Tells whether only one view has been in use for a while."""
+        return not self._former and version == self.view.service_version(
+            self.name,
+        )
+
+    def knows(self, version: int, now_s: float) -> bool:
+        """Tells whether a version is known, or strange for too long.
+
+        A sender whose view differs for good, such as one in a region that
+        lost touch, must not keep this agent unsure for ever.
+        """
+        known = {view.service_version(self.name) for view, _ in self._former}
+        known.add(self.view.service_version(self.name))
+        if version in known:
+            return True
+        if version not in self._strange:
+            if len(self._strange) >= STRANGE_VERSIONS_MAX:
+                self._strange.pop(next(iter(self._strange)))
+            self._strange[version] = now_s
+        return now_s - self._strange[version] > STRANGE_GRACE_S
+
+    def is_out(self) -> bool:
+        """Tells whether the agent's own data centre was taken out."""
+        return self.is_member_out(self.me)
+
+    def is_member_out(self, candidate: Candidate) -> bool:
+        """Tells whether a candidate's data centre was taken out."""
+        member = self.view.members.get(candidate.member_id)
+        return member is not None and self.view.is_out(member)
+
+    def is_draining(self) -> bool:
+        """Tells whether this agent takes no more flows."""
+        member = self.view.members.get(self.me.member_id)
+        return member is None or member.state >= MemberState.DRAINING
+
+    def is_gone(self, candidate: Candidate) -> bool:
+        """Tells whether a member is in neither this view nor a former one."""
+        if candidate.member_id in self.view.members:
+            return False
+        return not any(
+            candidate.member_id in view.members for view, _ in self._former
+        )
