--- a/cumindrift/document.py
+++ b/cumindrift/document.py
@@ -1,6 +1,7 @@
 """Documents in JSON with comments, read into attrs classes."""
 
 import json
+import re
 from typing import Any, TypeVar
 
 from attrs import has
@@ -18,6 +19,21 @@
 _EXTRA_MARK = 'fields not known here: '
 _FIELD_MARK = ' in field '
 _PATH_MARK = ' @ '
+# How the validators of attrs word a number out of bounds.
+_BOUND_FAULT = re.compile(r"'(\w+)' must be [<>]")
+
+
+class _DuplicateKeyError(ValueError):
+    """Tells that a key stands twice in one object."""
+
+
+def _unique_pairs(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    unique = dict(pairs)
+    if len(unique) < len(pairs):
+        keys = [key for key, _ in pairs]
+        doubled = next(key for key in keys if keys.count(key) > 1)
+        raise _DuplicateKeyError(f'{_DUPLICATE_MARK} {doubled!r}')
+    return unique
 
 
 def _strict_number(raw: Any, kind: type) -> Any:
@@ -44,9 +60,13 @@
     return raw
 
 
-def make_converter() -> Converter:
+def make_converter(*, omits_defaults: bool = False) -> Converter:
     """Returns a converter that refuses unknown fields and loose types."""
-    converter = Converter(forbid_extra_keys=True, detailed_validation=True)
+    converter = Converter(
+        forbid_extra_keys=True,
+        detailed_validation=True,
+        omit_if_default=omits_defaults,
+    )
     converter.register_structure_hook(int, _strict_number)
     converter.register_structure_hook(float, _strict_float)
     converter.register_structure_hook(str, _strict_text)
@@ -65,19 +85,6 @@
 _CONVERTER = make_converter()
 
 
-class DuplicateKeyError(ValueError):
-    """Tells that a key stands twice in one object."""
-
-
-def _unique_keys(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
-    unique = dict(pairs)
-    if len(unique) < len(pairs):
-        names = [name for name, _ in pairs]
-        twice = next(name for name in names if names.count(name) > 1)
-        raise DuplicateKeyError(f'{_DUPLICATE_MARK} {twice!r}')
-    return unique
-
-
 def parse_text(text: str) -> Done | Refused:
     """Parses JSON with comments; duplicate keys are refused.
 
@@ -100,10 +107,10 @@
     400 and 403.
     """
     try:
-        return Done(json.loads(text, object_pairs_hook=_unique_keys))
-    except DuplicateKeyError as error:
+        return Done(json.loads(text, object_pairs_hook=_unique_pairs))
+    except _DuplicateKeyError as error:
         return Refused(ResultCode.DUPLICATE_KEY, '$', str(error))
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return Refused(ResultCode.SYNTAX, '$', str(error))
 
 
@@ -154,6 +161,9 @@
         return f'a required field is missing: {error.args[0]}'
     details = error.args or (type(error).__name__,)
     field = getattr(details[1], 'name', '') if len(details) > 1 else ''
+    bounded = _BOUND_FAULT.match(str(details[0]))
+    if bounded and not field:
+        field = bounded.group(1)
     return f'{details[0]}{_FIELD_MARK}{field}' if field else str(details[0])
 
 
