--- a/cumindrift/code.py
+++ b/cumindrift/code.py
@@ -56,6 +56,7 @@
     PLATFORM_CONFLICT = 502, 'The conditional update met another version.'
     PLATFORM_ANSWER_LOST = 503, 'The write may have taken effect.'
     PLATFORM_MALFORMED = 504, 'The platform answered what cannot be read.'
+    PLATFORM_BUDGET = 505, 'Not run: too many platform calls are waiting.'
 
     SETTINGS_FILE = 600, 'The settings file cannot be used.'
     PORT_IN_USE = 601, 'An address of this process is taken or not its own.'
@@ -69,3 +70,4 @@
     HOP_LIMIT = 705, 'A packet used up its hops.'
     SEND_BUFFER_FULL = 706, 'The kernel took no more datagrams.'
     WRONG_SERVICE = 707, 'A packet reached an agent of another service.'
+    SNAPSHOT_CORRUPT = 708, 'A snapshot has a wrong digest or content.'
--- a/cumindrift/context.py
+++ b/cumindrift/context.py
@@ -12,6 +12,9 @@
 from cumindrift.membership.gossip import MembershipCore
 from cumindrift.membership.member import Member, MemberState
 from cumindrift.membership.view import View
+from cumindrift.platform.client import StoreCore
+from cumindrift.platform.link import RemoteStore
+from cumindrift.platform.pace import Pace
 from cumindrift.settings.process import ProcessSettings
 from cumindrift.settings.snapshot import SnapshotStore
 from cumindrift.settings.tree import Snapshot
@@ -49,6 +52,7 @@
     is_stopping: bool = False
     membership: MembershipCore = field(init=False)
     snapshots: SnapshotStore = field(init=False)
+    store: RemoteStore = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Builds the cores that every role has."""
@@ -59,6 +63,7 @@
             self._publish_view,
         )
         self.snapshots = SnapshotStore(self._publish_snapshot)
+        self.store = RemoteStore(StoreCore(Pace(self.random)), self.clock)
 
     def send(self, peer: Endpoint, message: Any) -> None:
         """Encodes a message of any family and sends it to a peer."""
--- /dev/null
+++ b/cumindrift/platform/client.py
@@ -0,0 +1,222 @@
+"""The core of the platform's client: calls in, typed actions out."""
+
+from collections import deque
+from math import inf
+
+from attrs import define, field
+
+from cumindrift.code import ResultCode
+from cumindrift.outcome import Done, NotRun, Outcome, Refused, Unknown
+from cumindrift.platform.call import (
+    AnswerKind,
+    Call,
+    CallAction,
+    CallAnswer,
+    CallKind,
+    StartCall,
+    StopCall,
+)
+from cumindrift.platform.pace import Pace
+from cumindrift.platform.store import StoreCallback, StoredObject
+
+CALL_TIMEOUT_S = 3.0
+# A read or write has this long in all, with its repeats.
+DEADLINE_S = 10.0
+WATCH_WAIT_S = 30.0
+WATCH_TIMEOUT_S = WATCH_WAIT_S + CALL_TIMEOUT_S
+QUEUED_MAX = 64
+
+
+@define(slots=True, eq=False)
+class _Pending:
+    """A call without an outcome; `is_lost` once a write's answer was."""
+
+    call_id: int
+    call: Call
+    on_outcome: StoreCallback
+    deadline_s: float
+    timeout_s: float = inf
+    is_running: bool = False
+    is_resolving: bool = False
+    is_lost: bool = False
+    failure: ResultCode = ResultCode.PLATFORM_DOWN
+
+    @property
+    def is_writing(self) -> bool:
+        """Whether the call that runs now may change the object."""
+        return self.call.kind is CallKind.WRITE and not self.is_resolving
+
+    def attempt(self) -> Call:
+        """Returns the call to send: the own one, or the resolving read."""
+        if self.is_resolving:
+            return Call(CallKind.READ, self.call.key)
+        return self.call
+
+
+@define(slots=True, eq=False)
+class StoreCore:
+    """Starts, times out, repeats and resolves calls; one for each process.
+
+    A write whose answer was lost is resolved by a read: the stored write id
+    tells whether it took effect, and while the expected version is still
+    stored the write is sent again, which is safe because it is conditional.
+    """
+
+    pace: Pace
+    started_count: int = 0
+    _last_id: int = 0
+    _pending: dict[int, _Pending] = field(factory=dict)
+    _queue: deque[int] = field(factory=deque)
+
+    def submit(
+        self,
+        call: Call,
+        on_outcome: StoreCallback,
+        now_s: float,
+    ) -> list[CallAction]:
+        """Takes a call; its outcome goes to `on_outcome`, once."""
+        if len(self._queue) >= QUEUED_MAX:
+            on_outcome(NotRun(ResultCode.PLATFORM_BUDGET, call.key))
+            return []
+        self._last_id += 1
+        call_id = self._last_id
+        deadline_s = now_s + DEADLINE_S
+        if call.kind is CallKind.WATCH:
+            deadline_s = inf
+        pending = _Pending(call_id, call, on_outcome, deadline_s)
+        self._pending[call_id] = pending
+        self._queue.append(call_id)
+        return self._start_due(now_s)
+
+    def on_answer(
+        self,
+        call_id: int,
+        answer: CallAnswer,
+        now_s: float,
+    ) -> list[CallAction]:
+        """Takes an answer; one to a call that was stopped is ignored."""
+        pending = self._pending.get(call_id)
+        if pending is None or not pending.is_running:
+            return []
+        is_strange = answer.kind is AnswerKind.MALFORMED or (
+            answer.stored is None and pending.call.kind is not CallKind.WATCH
+        )
+        if is_strange or answer.kind is AnswerKind.FAILED:
+            if is_strange:
+                pending.failure = ResultCode.PLATFORM_MALFORMED
+            return self.on_failure(call_id, now_s, was_sent=True)
+        pending.is_running = False
+        self.pace.on_success()
+        outcome = self._judge(pending, answer)
+        if outcome is None:
+            self._queue.append(call_id)
+        else:
+            self._settle(pending, outcome)
+        return self._start_due(now_s)
+
+    def on_failure(
+        self,
+        call_id: int,
+        now_s: float,
+        *,
+        was_sent: bool,
+    ) -> list[CallAction]:
+        """Takes the news that a call ended without a usable answer."""
+        pending = self._pending.get(call_id)
+        if pending is None or not pending.is_running:
+            return []
+        pending.is_running = False
+        self.pace.on_failure(now_s)
+        if pending.is_writing and was_sent:
+            pending.is_lost = True
+            pending.is_resolving = True
+        if pending.call.kind is CallKind.WATCH:
+            self._settle(pending, NotRun(pending.failure, pending.call.key))
+        else:
+            self._queue.append(call_id)
+        return self._start_due(now_s)
+
+    def tick(self, now_s: float) -> list[CallAction]:
+        """Ends what is out of time and starts what may start."""
+        actions: list[CallAction] = []
+        for pending in list(self._pending.values()):
+            if pending.is_running and now_s >= pending.timeout_s:
+                pending.failure = ResultCode.PLATFORM_SLOW
+                actions.append(StopCall(pending.call_id))
+                actions.extend(
+                    self.on_failure(pending.call_id, now_s, was_sent=True),
+                )
+            if now_s >= pending.deadline_s:
+                actions.extend(self._expire(pending))
+        return actions + self._start_due(now_s)
+
+    @property
+    def watch_count(self) -> int:
+        """The number of watches that wait at the platform."""
+        return sum(
+            pending.is_running and pending.call.kind is CallKind.WATCH
+            for pending in self._pending.values()
+        )
+
+    def _start_due(self, now_s: float) -> list[CallAction]:
+        actions: list[CallAction] = []
+        while self._queue and self.pace.allow(now_s, self.watch_count):
+            pending = self._pending.get(self._queue.popleft())
+            if pending is None:
+                continue
+            pending.is_running = True
+            is_watch = pending.call.kind is CallKind.WATCH
+            limit_s = WATCH_TIMEOUT_S if is_watch else CALL_TIMEOUT_S
+            pending.timeout_s = now_s + limit_s
+            self.started_count += 1
+            actions.append(StartCall(pending.call_id, pending.attempt()))
+        return actions
+
+    def _expire(self, pending: _Pending) -> list[CallAction]:
+        if pending.call_id not in self._pending:
+            return []
+        is_unknown = pending.is_lost or (
+            pending.is_running and pending.is_writing
+        )
+        stops = [StopCall(pending.call_id)] if pending.is_running else []
+        if is_unknown:
+            lost = ResultCode.PLATFORM_ANSWER_LOST
+            self._settle(pending, Unknown(lost, pending.call.key))
+        else:
+            self._settle(pending, NotRun(pending.failure, pending.call.key))
+        return stops
+
+    def _settle(self, pending: _Pending, outcome: Outcome) -> None:
+        self._pending.pop(pending.call_id)
+        pending.on_outcome(outcome)
+
+    def _judge(self, pending: _Pending, answer: CallAnswer) -> Outcome | None:
+        """Returns the outcome, or None when the call has to be repeated."""
+        stored = answer.stored
+        if pending.call.kind is CallKind.READ:
+            return Done(stored)
+        if pending.call.kind is CallKind.WATCH:
+            is_newer = stored is not None
+            is_newer = is_newer and stored.version > pending.call.version
+            return Done(stored) if is_newer else None
+        if answer.kind is AnswerKind.WRITTEN:
+            return Done(stored)
+        return _judge_write(pending, stored, answer.write_id)
+
+
+def _judge_write(
+    pending: _Pending,
+    stored: StoredObject,
+    write_id: str,
+) -> Outcome | None:
+    """Tells from what is stored now whether a write took effect."""
+    call = pending.call
+    if write_id == call.write_id:
+        return Done(StoredObject(call.key, stored.version, call.body))
+    if stored.version == call.version:
+        pending.is_resolving = False
+        return None
+    if pending.is_lost and stored.version > call.version + 1:
+        # The write may have been stored and then replaced by another.
+        return Unknown(ResultCode.PLATFORM_ANSWER_LOST, call.key)
+    return Refused(ResultCode.PLATFORM_CONFLICT, call.key)
--- /dev/null
+++ b/cumindrift/platform/link.py
@@ -0,0 +1,128 @@
+"""The link to the platform: drives the store's core over HTTP/1.1."""
+
+from collections.abc import Callable
+
+from attrs import define, field
+
+from cumindrift.address import Endpoint
+from cumindrift.platform.call import (
+    Call,
+    CallAction,
+    CallKind,
+    StartCall,
+)
+from cumindrift.platform.client import WATCH_WAIT_S, StoreCore
+from cumindrift.platform.exchange import HttpExchange
+from cumindrift.platform.http import PlainAnswer, decode_answer, encode_call
+from cumindrift.platform.store import StoreCallback
+from cumindrift.supervision import Child
+from cumindrift.ticker import Ticker
+
+TICK_PERIOD_S = 0.1
+
+
+def _perform_nothing(_actions: list[CallAction]) -> None:
+    """Stands in while no link runs; the core's timeouts repeat calls."""
+
+
+@define(slots=True, eq=False)
+class RemoteStore:
+    """The `ObjectStore` of a process; it outlives the link that serves it.
+
+    Example::
+
+        store = RemoteStore(StoreCore(Pace(random)), clock)
+        store.read('settings', on_outcome)
+    """
+
+    core: StoreCore
+    clock: Callable[[], float]
+    # Set by the link while it runs.
+    perform: Callable[[list[CallAction]], None] = field(
+        default=_perform_nothing,
+    )
+
+    def read(self, key: str, on_outcome: StoreCallback) -> None:
+        """Reads one object; an absent one has version 0 and no body."""
+        self._submit(Call(CallKind.READ, key), on_outcome)
+
+    def write(
+        self,
+        key: str,
+        body: bytes,
+        expected_version: int,
+        write_id: str,
+        on_outcome: StoreCallback,
+    ) -> None:
+        """Writes if `expected_version` is stored; the same id only once."""
+        call = Call(CallKind.WRITE, key, expected_version, body, write_id)
+        self._submit(call, on_outcome)
+
+    def watch(
+        self,
+        key: str,
+        known_version: int,
+        on_outcome: StoreCallback,
+    ) -> None:
+        """Waits for a version above `known_version`, then answers once."""
+        call = Call(CallKind.WATCH, key, known_version, wait_s=WATCH_WAIT_S)
+        self._submit(call, on_outcome)
+
+    def _submit(self, call: Call, on_outcome: StoreCallback) -> None:
+        self.perform(self.core.submit(call, on_outcome, self.clock()))
+
+
+class PlatformLink(Child):
+    """Runs the exchanges; a child of the platform supervisor."""
+
+    def __init__(self, store: RemoteStore, endpoint: Endpoint) -> None:
+        """Serves `store` from the object API at `endpoint`."""
+        super().__init__(channel='platform-link')
+        self._store = store
+        self._endpoint = endpoint
+        self._exchanges: dict[int, HttpExchange] = {}
+        store.perform = self._perform
+        Ticker('platform', TICK_PERIOD_S, self._tick).register(self)
+
+    def release(self) -> None:
+        """Ends all exchanges; the core repeats their calls later."""
+        self._store.perform = _perform_nothing
+        for exchange in list(self._exchanges.values()):
+            exchange.release()
+
+    def _perform(self, actions: list[CallAction]) -> None:
+        for action in actions:
+            if isinstance(action, StartCall):
+                self._start(action)
+            else:
+                exchange = self._exchanges.pop(action.call_id, None)
+                if exchange is not None:
+                    exchange.break_off()
+
+    def _start(self, action: StartCall) -> None:
+        call = action.call
+
+        def on_end(answer: PlainAnswer | None, was_sent: bool) -> None:
+            self._exchanges.pop(action.call_id, None)
+            now_s = self._store.clock()
+            core = self._store.core
+            if answer is None:
+                self._perform(
+                    core.on_failure(action.call_id, now_s, was_sent=was_sent),
+                )
+                return
+            decoded = decode_answer(call, answer)
+            self._perform(core.on_answer(action.call_id, decoded, now_s))
+
+        exchange = HttpExchange(
+            str(action.call_id),
+            self._endpoint,
+            encode_call(call),
+            on_end,
+        )
+        self._exchanges[action.call_id] = exchange
+        exchange.register(self)
+        exchange.start()
+
+    def _tick(self) -> None:
+        self._perform(self._store.core.tick(self._store.clock()))
--- /dev/null
+++ b/cumindrift/platform/pace.py
@@ -0,0 +1,69 @@
+"""The pace of platform calls: a budget, backoff and gradual recovery."""
+
+from random import Random
+
+from attrs import define
+
+RATE_MAX_PER_S = 10.0
+RATE_MIN_PER_S = 0.5
+RATE_GROWTH = 1.3
+BURST_CALLS = 10.0
+BACKOFF_BASE_S = 0.25
+BACKOFF_MAX_S = 10.0
+
+
+@define(slots=True)
+class Pace:
+    """Tells when the next call may start; used by the store's core.
+
+    A token bucket bounds the calls a second, and each waiting watch takes
+    its share of the rate. After a failure nothing starts until a backoff
+    with full jitter ends; then one call probes the platform, and the rate
+    grows with each success.
+    """
+
+    random: Random
+    rate_per_s: float = RATE_MAX_PER_S
+    _tokens: float = BURST_CALLS
+    _refilled_s: float = 0.0
+    _closed_until_s: float = 0.0
+    _failure_count: int = 0
+
+    def allow(self, now_s: float, watch_count: int) -> bool:
+        """Takes a token if there is one; `watch_count` watches wait."""
+        if now_s < self._closed_until_s:
+            return False
+        self._refill(now_s, watch_count)
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+    def on_success(self) -> None:
+        """Notes an answer that could be read."""
+        self._failure_count = 0
+        self.rate_per_s = min(RATE_MAX_PER_S, self.rate_per_s * RATE_GROWTH)
+
+    def on_failure(self, now_s: float) -> None:
+        """Notes a call without a usable answer.
+
+        Calls that fail together, before the backoff ends, count once.
+        """
+        if now_s < self._closed_until_s:
+            return
+        self._failure_count += 1
+        ceiling_s = min(
+            BACKOFF_MAX_S,
+            BACKOFF_BASE_S * 2 ** min(self._failure_count, 10),
+        )
+        self._closed_until_s = now_s + self.random.random() * ceiling_s
+        self.rate_per_s = RATE_MIN_PER_S
+        self._tokens = 1.0
+        self._refilled_s = self._closed_until_s
+
+    def _refill(self, now_s: float, watch_count: int) -> None:
+        rate_per_s = max(RATE_MIN_PER_S, self.rate_per_s - watch_count)
+        gained = max(0.0, now_s - self._refilled_s) * rate_per_s
+        ceiling = 1.0 if self._failure_count else BURST_CALLS
+        self._tokens = min(ceiling, self._tokens + gained)
+        self._refilled_s = max(now_s, self._refilled_s)
--- /dev/null
+++ b/cumindrift/platform/supervisor.py
@@ -0,0 +1,22 @@
+"""The platform supervisor and its list of children."""
+
+from cumindrift.address import Endpoint
+from cumindrift.context import Context
+from cumindrift.platform.link import PlatformLink
+from cumindrift.supervision import ChildSpec, Supervisor
+
+
+def build_platform(context: Context) -> Supervisor:
+    """Returns the supervisor; restart strategy one-for-one.
+
+    Without a platform address in the settings it has no children, and the
+    process lives on what its peers tell.
+    """
+    address = context.settings.platform
+    if not address:
+        return Supervisor('platform', [])
+    endpoint = Endpoint.parse(address)
+    return Supervisor(
+        'platform',
+        [ChildSpec('link', lambda: PlatformLink(context.store, endpoint))],
+    )
