--- a/cumindrift/code.py
+++ b/cumindrift/code.py
@@ -61,6 +61,7 @@
     PLATFORM_CONFLICT = 502, 'The conditional update met another version.'
     PLATFORM_ANSWER_LOST = 503, 'The write may have taken effect.'
     PLATFORM_MALFORMED = 504, 'The platform answered what cannot be read.'
+    PLATFORM_BUDGET = 505, 'Not run: too many platform calls are waiting.'
 
     SETTINGS_FILE = 600, 'The settings file cannot be used.'
     PORT_IN_USE = 601, 'An address of this process is taken or not its own.'
@@ -76,3 +77,4 @@
     WRONG_SERVICE = 707, 'A packet reached an agent of another service.'
     SEARCH_UNSURE = 708, 'A search ended while views or an agent were fresh.'
     OPEN_PENDING = 709, 'A repeated open while the first is being placed.'
+    SNAPSHOT_CORRUPT = 710, 'A snapshot has a wrong digest or content.'
