--- a/cumindrift/caller/message.py
+++ b/cumindrift/caller/message.py
@@ -9,6 +9,8 @@
 opening = Family(4, 'caller.capnp', 'CallerMessage')
 
 PART_BODY_BYTES = 1100
+REQUEST_ID_BYTES = 16
+MS_PER_S = 1000
 
 
 @opening.message('open')
@@ -20,17 +22,27 @@
 @caller.message('openReply')
 @define(frozen=True, slots=True)
 class OpenReply:
-    """Tells the caller which incarnation of an agent holds the flow."""
+    """Tells the caller which incarnation of an agent holds the flow.
+
+    `clock_ms` is the agent's monotonic clock. Callers give birth times on
+    it, so that no two hosts need the same time of day.
+    """
 
     code: int
     incarnation: int
     agent: str
+    clock_ms: int = 0
 
 
 @caller.message('request')
 @define(frozen=True, slots=True)
 class Request:
-    """One request; `remaining_ms` counts down from hop to hop."""
+    """One request; `remaining_ms` counts down from hop to hop.
+
+    `attempt` counts the agents that were tried, `transmission` the copies
+    sent to one of them. `born_ms` is the first transmission's time on the
+    clock of the agent; it never lies after the true time.
+    """
 
     request_id: bytes
     incarnation: int
@@ -40,6 +52,8 @@
     method: str
     path: str
     body: bytes
+    born_ms: int = 0
+    transmission: int = 0
 
 
 @caller.message('part')
@@ -68,11 +82,15 @@
 @caller.message('verdict')
 @define(frozen=True, slots=True)
 class Verdict:
-    """Tells what became of a request that has no answer to send."""
+    """Tells what became of a request that has no answer to send.
+
+    With ANSWER_DROPPED, `part_number` is the first part still kept.
+    """
 
     request_id: bytes
     code: int
-    retry_after_ms: int
+    retry_after_ms: int = 0
+    part_number: int = 0
 
 
 @caller.message('cancel')
@@ -82,6 +100,7 @@
 
     request_id: bytes
     incarnation: int
+    born_ms: int = 0
 
 
 @caller.message('acknowledge')
--- /dev/null
+++ b/cumindrift/caller/pending.py
@@ -0,0 +1,92 @@
+"""Requests of a session whose outcome is not known yet."""
+
+from attrs import define, evolve, field
+
+from cumindrift.caller.answer import Assembly
+from cumindrift.caller.message import (
+    MS_PER_S,
+    Acknowledge,
+    Cancel,
+    PartAsk,
+    Request,
+)
+from cumindrift.code import ResultCode
+from cumindrift.outcome import NotRun, Outcome, Unknown
+
+WINDOW_PARTS = 32
+FLOW_LOST_MAX = 3
+
+
+@define(slots=True)
+class Pending:
+    """A request, the copies sent of it and its answer so far."""
+
+    request: Request
+    deadline_s: float
+    next_s: float
+    is_sent: bool = False
+    is_cancelled: bool = False
+    assembly: Assembly = field(factory=Assembly)
+    asked_until: int = 0
+    # Transmissions to which a process answered that it lacks the flow.
+    lost_transmissions: set[int] = field(factory=set)
+
+    def next_transmission(
+        self,
+        incarnation: int,
+        born_ms: int,
+        now_s: float,
+    ) -> Request:
+        """Returns the next copy; the first one fixes agent and birth."""
+        if not self.is_sent:
+            self.is_sent = True
+            self.request = evolve(
+                self.request,
+                incarnation=incarnation,
+                born_ms=born_ms,
+                transmission=0,
+            )
+        remaining_s = max(0.0, self.deadline_s - now_s)
+        self.request = evolve(
+            self.request,
+            remaining_ms=int(remaining_s * MS_PER_S),
+            transmission=self.request.transmission + 1,
+        )
+        return self.request
+
+    def cancel(self) -> Cancel:
+        """Returns the message that stops the request."""
+        request = self.request
+        return Cancel(request.request_id, request.incarnation, request.born_ms)
+
+    def ask(self) -> PartAsk:
+        """Returns the message that asks for the parts still missing."""
+        first = self.assembly.next_number
+        self.asked_until = first + WINDOW_PARTS
+        return PartAsk(
+            self.request.request_id,
+            self.request.incarnation,
+            first,
+            WINDOW_PARTS,
+        )
+
+    def acknowledge(self) -> Acknowledge:
+        """Returns the message that the answer is there."""
+        return Acknowledge(self.request.request_id, self.request.incarnation)
+
+    def is_window_low(self) -> bool:
+        """Whether it is time to ask for more parts."""
+        half = WINDOW_PARTS // 2
+        wanted = max(self.asked_until, half + 1)
+        return self.assembly.next_number + half >= wanted
+
+    def late_outcome(self) -> Outcome:
+        """Returns what is known when the time is over."""
+        if self.is_sent:
+            return Unknown(ResultCode.DEADLINE_PASSED)
+        return NotRun(ResultCode.TOO_LATE)
+
+    def is_lost(self) -> bool:
+        """Notes that the flow was not found; True when it stays so."""
+        self.lost_transmissions.add(self.request.transmission)
+        return len(self.lost_transmissions) >= FLOW_LOST_MAX
--- a/cumindrift/caller/session.py
+++ b/cumindrift/caller/session.py
@@ -2,49 +2,35 @@
 
 from collections.abc import Callable
 from random import Random
-from typing import Any
 
-from attrs import define, evolve, field
+from attrs import define, field
 
-from cumindrift.caller.answer import Assembly
 from cumindrift.caller.message import (
-    Acknowledge,
-    Cancel,
+    MS_PER_S,
+    REQUEST_ID_BYTES,
     CloseFlow,
     Open,
     OpenReply,
     Part,
-    PartAsk,
     Request,
     Verdict,
     caller,
     opening,
 )
+from cumindrift.caller.pending import Pending
 from cumindrift.code import ResultCode
 from cumindrift.outcome import Done, NotRun, Outcome, Unknown
+from cumindrift.registry import Registry
 from cumindrift.wire import WireError, decode_frame, encode_frame
 
 OPEN_RETRY_S = 0.3
 OPEN_TIMEOUT_S = 5.0
 QUIET_S = 0.4
-WINDOW_PARTS = 32
-REQUEST_ID_BYTES = 16
-_MS_PER_S = 1000
-
-OutcomeSink = Callable[[bytes, Outcome], None]
 
+# After these verdicts the flow has to be opened again.
+_AGENT_GONE = frozenset((ResultCode.FLOW_LOST, ResultCode.OTHER_INCARNATION))
 
-@define(slots=True)
-class Pending:
-    """A request whose outcome is not known yet."""
-
-    request: Request
-    deadline_s: float
-    next_s: float
-    is_sent: bool = False
-    is_cancelled: bool = False
-    assembly: Assembly = field(factory=Assembly)
-    asked_until: int = 0
+OutcomeSink = Callable[[bytes, Outcome], None]
 
 
 @define(slots=True)
@@ -60,15 +46,25 @@
     incarnation: int = 0
     agent: str = ''
     refusal: ResultCode | None = None
+    # How long to wait before a request that was not run is tried again.
+    retry_after_s: float = 0.0
     _pending: dict[bytes, Pending] = field(factory=dict)
     _open_next_s: float = 0.0
     _open_until_s: float = 0.0
+    # The agent's clock minus the own one, or a little less.
+    _offset_s: float = 0.0
+    _left_incarnation: int = 0
 
     @property
     def is_open(self) -> bool:
         """Whether an agent holds the flow."""
         return self.incarnation != 0
 
+    @property
+    def pending_count(self) -> int:
+        """The number of requests without an outcome."""
+        return len(self._pending)
+
     def open(self, now_s: float) -> list[bytes]:
         """Returns the opening message."""
         self._open_next_s = now_s + OPEN_RETRY_S * (1 + self.random.random())
@@ -89,10 +85,13 @@
         """Starts a request; it is sent at once if the flow is open.
 
         `request_id` is the caller's own and stays the same in retries;
-        the fields incarnation and remaining_ms are filled in here.
+        what depends on the agent and the time is filled in here.
         """
         pending = Pending(request, deadline_s, now_s)
         self._pending[request.request_id] = pending
+        if self.refusal is not None:
+            self._settle(request.request_id, NotRun(self.refusal))
+            return []
         if not self.is_open:
             return []
         return [self._send_request(pending, now_s)]
@@ -106,7 +105,7 @@
             self._settle(request_id, NotRun(ResultCode.CANCELLED))
             return []
         pending.is_cancelled = True
-        return [encode_frame(caller, Cancel(request_id, self.incarnation))]
+        return [encode_frame(caller, pending.cancel())]
 
     def receive(self, payload: bytes, now_s: float) -> list[bytes]:
         """Takes a datagram from an agent; strange ones change nothing."""
@@ -119,34 +118,31 @@
         if isinstance(message, Part):
             return self._on_part(message, now_s)
         if isinstance(message, Verdict):
-            self._on_verdict(message, now_s)
+            self._on_verdict(message)
         return []
 
     def tick(self, now_s: float) -> list[bytes]:
         """Repeats what went unanswered and ends what is out of time."""
         payloads: list[bytes] = []
         if not self.is_open and self.refusal is None:
-            if now_s >= self._open_until_s:
-                self._refuse_all(ResultCode.NO_SUCH_FLOW)
-            elif now_s >= self._open_next_s:
-                payloads.extend(self.open(now_s))
+            if not self._open_until_s or now_s < self._open_until_s:
+                if now_s >= self._open_next_s:
+                    payloads.extend(self.open(now_s))
+            else:
+                self._refuse(ResultCode.NO_SUCH_FLOW)
         for pending in list(self._pending.values()):
             payloads.extend(self._tick_pending(pending, now_s))
         return payloads
 
-    @property
-    def pending_count(self) -> int:
-        """The number of requests without an outcome."""
-        return len(self._pending)
-
     def _tick_pending(self, pending: Pending, now_s: float) -> list[bytes]:
         request_id = pending.request.request_id
         if now_s >= pending.deadline_s:
-            self._settle(request_id, self._late(pending))
+            self._settle(request_id, pending.late_outcome())
             if not pending.is_sent:
                 return []
-            return [encode_frame(caller, Cancel(request_id, self.incarnation))]
-        if not self.is_open or now_s < pending.next_s:
+            return [encode_frame(caller, pending.cancel())]
+        is_idle = not self.is_open and not pending.is_sent
+        if is_idle or now_s < pending.next_s:
             return []
         if pending.is_cancelled:
             pending.next_s = self._quiet_until(now_s)
@@ -155,49 +151,40 @@
             return [self._ask(pending, now_s)]
         return [self._send_request(pending, now_s)]
 
-    def _late(self, pending: Pending) -> Outcome:
-        if pending.is_sent:
-            return Unknown(ResultCode.DEADLINE_PASSED)
-        return NotRun(ResultCode.TOO_LATE)
-
     def _quiet_until(self, now_s: float) -> float:
         return now_s + QUIET_S * (0.5 + self.random.random())
 
     def _send_request(self, pending: Pending, now_s: float) -> bytes:
-        pending.is_sent = True
         pending.next_s = self._quiet_until(now_s)
-        pending.request = evolve(
-            pending.request,
-            incarnation=pending.request.incarnation or self.incarnation,
-            remaining_ms=int((pending.deadline_s - now_s) * _MS_PER_S),
-            attempt=pending.request.attempt + 1,
+        born_ms = int((now_s + self._offset_s) * MS_PER_S)
+        message = pending.next_transmission(
+            self.incarnation,
+            max(0, born_ms),
+            now_s,
         )
-        return encode_frame(caller, pending.request)
+        return encode_frame(caller, message)
 
     def _ask(self, pending: Pending, now_s: float) -> bytes:
-        first = pending.assembly.next_number
-        pending.asked_until = first + WINDOW_PARTS
         pending.next_s = self._quiet_until(now_s)
-        ask = PartAsk(
-            pending.request.request_id,
-            pending.request.incarnation,
-            first,
-            WINDOW_PARTS,
-        )
-        return encode_frame(caller, ask)
+        return encode_frame(caller, pending.ask())
 
     def _on_open_reply(self, reply: OpenReply, now_s: float) -> list[bytes]:
-        if reply.code != ResultCode.DONE:
-            if not self.is_open:
-                self._refuse_all(ResultCode(reply.code))
+        is_stale = reply.incarnation == self._left_incarnation
+        if self.is_open or is_stale:
             return []
-        if self.is_open:
+        if reply.code != ResultCode.DONE:
+            self._refuse(ResultCode(reply.code))
             return []
         self.incarnation = reply.incarnation
         self.agent = reply.agent
+        self.refusal = None
+        # The reply was on its way for a while: births are told too early,
+        # never too late.
+        self._offset_s = reply.clock_ms / MS_PER_S - now_s
         return [
             self._send_request(pending, now_s)
             for pending in self._pending.values()
+            if not pending.is_sent
         ]
 
     def _on_part(self, part: Part, now_s: float) -> list[bytes]:
@@ -208,32 +195,40 @@
         assembly = pending.assembly
         if assembly.is_whole:
             self._settle(part.request_id, Done(assembly.answer()))
-            acknowledge = Acknowledge(
-                part.request_id,
-                pending.request.incarnation,
-            )
-            return [encode_frame(caller, acknowledge)]
-        half = WINDOW_PARTS // 2
-        if assembly.next_number + half >= max(pending.asked_until, half + 1):
+            return [encode_frame(caller, pending.acknowledge())]
+        if pending.is_window_low():
             return [self._ask(pending, now_s)]
         return []
 
-    def _on_verdict(self, verdict: Verdict, now_s: float) -> None:
+    def _on_verdict(self, verdict: Verdict) -> None:
         pending = self._pending.get(verdict.request_id)
-        if pending is None:
+        if pending is None or not pending.is_sent:
             return
         code = ResultCode(verdict.code)
-        if code is ResultCode.STILL_RUNNING:
-            pending.next_s = self._quiet_until(now_s)
+        if code.name in verdict_readers:
+            outcome = verdict_readers.get(code.name)(pending, verdict)
         elif code < ResultCode.OUTCOME_UNKNOWN:
-            self._settle(verdict.request_id, NotRun(code))
+            self.retry_after_s = verdict.retry_after_ms / MS_PER_S
+            outcome = NotRun(code)
         else:
-            self._settle(verdict.request_id, Unknown(code))
+            outcome = Unknown(code)
+        if outcome is None:
+            return
+        if code in _AGENT_GONE:
+            self._leave_agent(pending.request.incarnation)
+        self._settle(verdict.request_id, outcome)
+
+    def _leave_agent(self, incarnation: int) -> None:
+        if incarnation == self.incarnation:
+            self._left_incarnation = incarnation
+            self.incarnation = 0
+            self._open_until_s = 0.0
 
-    def _refuse_all(self, code: ResultCode) -> None:
+    def _refuse(self, code: ResultCode) -> None:
         self.refusal = code
-        for request_id in list(self._pending):
-            self._settle(request_id, NotRun(code))
+        for request_id, pending in list(self._pending.items()):
+            if not pending.is_sent:
+                self._settle(request_id, NotRun(code))
 
     def _settle(self, request_id: bytes, outcome: Outcome) -> None:
         self._pending.pop(request_id)
@@ -247,15 +242,40 @@
     body: bytes = b'',
     *,
     is_idempotent: bool = False,
-) -> Any:
+) -> Request:
     """Returns a request with a fresh id, ready for `Session.request`."""
     return Request(
         request_id=random.randbytes(REQUEST_ID_BYTES),
         incarnation=0,
         is_idempotent=is_idempotent,
         remaining_ms=0,
-        attempt=0,
+        attempt=1,
         method=method,
         path=path,
         body=body,
     )
+
+
+VerdictReader = Callable[[Pending, Verdict], Outcome | None]
+
+# Codes that may leave the outcome open; they are asked by name.
+verdict_readers: Registry[VerdictReader] = Registry('verdict reader')
+
+
+@verdict_readers.register('STILL_RUNNING')
+def _read_still_running(_pending: Pending, _verdict: Verdict) -> None:
+    """Goes on waiting: the next copy asks again."""
+
+
+@verdict_readers.register('FLOW_LOST')
+def _read_flow_lost(pending: Pending, verdict: Verdict) -> Outcome | None:
+    # A stray copy may have missed a holder that is still there.
+    return Unknown(ResultCode(verdict.code)) if pending.is_lost() else None
+
+
+@verdict_readers.register('ANSWER_DROPPED')
+def _read_dropped(pending: Pending, verdict: Verdict) -> Outcome | None:
+    # Late copies of messages may ask for parts that are here.
+    if pending.assembly.next_number >= verdict.part_number:
+        return None
+    return Unknown(ResultCode(verdict.code))
--- a/cumindrift/code.py
+++ b/cumindrift/code.py
@@ -34,12 +34,18 @@
     CANCELLED = 205, 'Not run: the caller cancelled it before it started.'
     BUDGET_SPENT = 206, 'Not run: the retry budget of the service is spent.'
     BAD_REQUEST = 207, 'Not run: the request could not be read.'
+    STOPPING = 208, 'Not run: the agent is stopping and takes no new work.'
+    TARGET_SHED = 209, 'Not run: the target refused it before running it.'
+    NOT_SENT = 210, 'Not run: the target could not be reached.'
 
     OUTCOME_UNKNOWN = 300, 'It may have run; nobody who could know is left.'
     OTHER_INCARNATION = 301, 'Unknown: the agent restarted since the open.'
     ID_EXPIRED = 302, 'Unknown: the id is older than the ledger remembers.'
     DEADLINE_PASSED = 303, 'Unknown: the time ended while it was running.'
     TARGET_FAILED = 304, 'Unknown: the target broke off while running it.'
+    ANSWER_DROPPED = 305, 'It ran, but its answer is no longer kept.'
+    FLOW_LOST = 306, 'Unknown: the agent asked does not hold the flow.'
+    CALLER_QUIET = 307, 'Unknown: stopped, the caller took no more parts.'
 
     SYNTAX = 400, 'The document cannot be parsed.'
     UNKNOWN_FIELD = 401, 'A field is not known at this place.'
--- a/cumindrift/metric.py
+++ b/cumindrift/metric.py
@@ -55,3 +55,19 @@
     'Requests by result code name.',
     ('team', 'service', 'code'),
 )
+SERVICE_SECONDS = Histogram(
+    'cumindrift_service_seconds',
+    'Time that a request spent at its target.',
+    _TENANT_LABELS,
+    buckets=_DURATION_BUCKETS_S,
+)
+REQUESTS_RECEIVED = Counter(
+    'cumindrift_requests_received',
+    'Requests received: first attempts, retries, copies of either.',
+    ('team', 'service', 'kind'),
+)
+GOODPUT = Counter(
+    'cumindrift_goodput',
+    'Requests whose answer was complete before their deadline.',
+    _TENANT_LABELS,
+)
--- a/cumindrift/schema/caller.capnp
+++ b/cumindrift/schema/caller.capnp
@@ -7,6 +7,7 @@
   code @0 :UInt16;
   incarnation @1 :UInt64;
   agent @2 :Text;
+  clockMs @3 :UInt64;
 }
 
 struct Request {
@@ -18,6 +19,8 @@
   method @5 :Text;
   path @6 :Text;
   body @7 :Data;
+  bornMs @8 :UInt64;
+  transmission @9 :UInt16;
 }
 
 struct Part {
@@ -39,11 +42,13 @@
   requestId @0 :Data;
   code @1 :UInt16;
   retryAfterMs @2 :UInt32;
+  partNumber @3 :UInt32;
 }
 
 struct Cancel {
   requestId @0 :Data;
   incarnation @1 :UInt64;
+  bornMs @2 :UInt64;
 }
 
 struct Acknowledge {
--- a/cumindrift/traffic/front.py
+++ b/cumindrift/traffic/front.py
@@ -1,5 +1,6 @@
 """Front ends at the agent: what is done with a packet of a held flow."""
 
+from collections.abc import Callable
 from typing import Any, Protocol
 
 from attrs import define, field
@@ -7,6 +8,7 @@
 
 from cumindrift.address import Endpoint
 from cumindrift.caller.message import (
+    MS_PER_S,
     Acknowledge,
     Cancel,
     CloseFlow,
@@ -20,22 +22,30 @@
 from cumindrift.context import Context
 from cumindrift.metric import (
     DROPS,
+    GOODPUT,
     QUEUE_SECONDS,
     REQUEST_OUTCOMES,
     REQUEST_SECONDS,
+    REQUESTS_RECEIVED,
+    SERVICE_SECONDS,
 )
-from cumindrift.outcome import Dropped
+from cumindrift.outcome import Dropped, Outcome
 from cumindrift.registry import Registry
 from cumindrift.traffic.admission import Admission
 from cumindrift.traffic.finder import FlowFinder
+from cumindrift.traffic.image import adopt_ledger, export_ledger
+from cumindrift.traffic.ledger import Entry, Ledger
 from cumindrift.traffic.packet import read_packet
-from cumindrift.traffic.request import (
+from cumindrift.traffic.reply import (
+    Ended,
+    Pause,
     Reply,
     RequestAction,
-    RequestCore,
+    Resume,
     Run,
     Stop,
 )
+from cumindrift.traffic.request import RequestCore
 from cumindrift.traffic.target import TargetLink
 from cumindrift.wire import WireError, decode_frame, encode_frame, families
 
@@ -91,10 +101,13 @@
     def __attrs_post_init__(self) -> None:
         """Builds the core for the target's slots."""
         target = self.context.settings.target
+        random = self.context.random
         self.core = RequestCore(
-            self.context.me.incarnation,
-            Admission(target.slots if target else 1),
+            Ledger(self.context.me.incarnation),
+            Admission(target.slots if target else 1, random),
+            random,
         )
+        self.context.stop_steps.append(self.stop)
 
     def deliver(self, flow_key: bytes, packet: bytes, now_s: float) -> None:
         """Decodes one caller message and acts on it."""
@@ -127,29 +140,41 @@
         if isinstance(message, Open):
             self._reply_open(inner.source, code)
         elif isinstance(message, Request):
-            self._send(inner.source, Verdict(message.request_id, code, 0))
+            # This process holds no ledger entry for the id, and the copy
+            # may be a stray one: it cannot say that nothing ran.
+            verdict = Verdict(message.request_id, ResultCode.FLOW_LOST)
+            self._send(inner.source, verdict)
+
+    def stop(self, now_s: float) -> bool:
+        """Takes no new work; True when all that ran is delivered."""
+        self._perform(self.core.stop(now_s))
+        return self.core.has_stopped(now_s)
+
+    def export_ledger(self, now_s: float) -> bytes:
+        """Returns the ledger for a hand-over and decides no more."""
+        return export_ledger(self.core.ledger, now_s)
+
+    def adopt_ledger(self, octets: bytes, now_s: float) -> Outcome:
+        """Takes the ledger of an agent that was restarted as planned."""
+        return adopt_ledger(self.core.ledger, octets, now_s)
 
     def tick(self, now_s: float) -> None:
         """Lets the core refuse and stop what is out of time."""
         self._perform(self.core.tick(now_s))
 
-    def on_body(self, request_id: bytes, status: int, body: bytes) -> None:
+    def on_head(self, request_id: bytes, status: int) -> None:
+        """Takes the status of an answer from the target link."""
+        now_s = self.context.clock()
+        self._perform(self.core.on_head(request_id, status, now_s))
+
+    def on_body(self, request_id: bytes, body: bytes) -> None:
         """Takes a piece of an answer from the target link."""
-        self._perform(self.core.on_body(request_id, status, body))
+        self._perform(self.core.on_body(request_id, body))
 
     def on_end(self, request_id: bytes) -> None:
         """Takes the end of an answer from the target link."""
         now_s = self.context.clock()
         self._perform(self.core.on_end(request_id, now_s))
-        entry = self.core.ledger.entries[request_id]
-        team, service = self.context.me.team, self.context.me.service
-        REQUEST_SECONDS.labels(team, service).observe(
-            now_s - entry.admitted_s,
-        )
-        QUEUE_SECONDS.labels(team, service).observe(
-            entry.started_s - entry.admitted_s,
-        )
-        REQUEST_OUTCOMES.labels(team, service, ResultCode.DONE.name).inc()
 
     def on_failure(self, request_id: bytes, *, was_sent: bool) -> None:
         """Takes a broken answer from the target link."""
@@ -165,9 +190,10 @@
         now_s: float,
     ) -> list[RequestAction]:
         if isinstance(message, Request):
+            self._count_request(message)
             return self.core.on_request(message, caller, now_s)
         if isinstance(message, PartAsk):
-            return self.core.on_part_ask(message, caller)
+            return self.core.on_part_ask(message, caller, now_s)
         if isinstance(message, Cancel):
             return self.core.on_cancel(message, caller, now_s)
         if isinstance(message, Acknowledge):
@@ -178,29 +204,40 @@
         for action in actions:
             if isinstance(action, Reply):
                 self._send(action.caller, action.message)
-                self._count(action.message)
-            else:
-                self._drive_link(action)
-
-    def _drive_link(self, action: Run | Stop) -> None:
-        if self.link is None:
+            elif isinstance(action, Ended):
+                self._observe(action.entry)
+            elif self.link is not None:
+                link_drivers.get(type(action).__name__)(self.link, action)
+
+    def _labels(self) -> tuple[str, str]:
+        return self.context.me.team, self.context.me.service
+
+    def _count_request(self, request: Request) -> None:
+        kind = 'retry' if request.attempt > 1 else 'first'
+        if request.transmission > 1:
+            kind = 'copy'
+        REQUESTS_RECEIVED.labels(*self._labels(), kind).inc()
+
+    def _observe(self, entry: Entry) -> None:
+        labels = self._labels()
+        REQUEST_OUTCOMES.labels(*labels, entry.code.name).inc()
+        started_s = entry.started_s
+        waited_s = (started_s or entry.ended_s) - entry.admitted_s
+        QUEUE_SECONDS.labels(*labels).observe(waited_s)
+        if started_s is None:
             return
-        if isinstance(action, Run):
-            self.link.run_request(action.request, action.remaining_s)
-        else:
-            self.link.stop_request(action.request_id)
-
-    def _count(self, message: Any) -> None:
-        if isinstance(message, Verdict):
-            REQUEST_OUTCOMES.labels(
-                self.context.me.team,
-                self.context.me.service,
-                ResultCode(message.code).name,
-            ).inc()
+        SERVICE_SECONDS.labels(*labels).observe(entry.ended_s - started_s)
+        if entry.code is ResultCode.DONE:
+            whole_s = entry.ended_s - entry.admitted_s
+            REQUEST_SECONDS.labels(*labels).observe(whole_s)
+            if entry.ended_s <= entry.deadline_s:
+                GOODPUT.labels(*labels).inc()
 
     def _reply_open(self, caller: Endpoint, code: ResultCode) -> None:
         me = self.context.me
-        self._send(caller, OpenReply(code, me.incarnation, me.name))
+        clock_ms = int(self.context.clock() * MS_PER_S)
+        reply = OpenReply(code, me.incarnation, me.name, clock_ms)
+        self._send(caller, reply)
 
     def _send(self, caller: Endpoint, message: Any) -> None:
         family = next(
@@ -209,3 +246,28 @@
             if family.carries(type(message))
         )
         self.context.send_raw(caller, encode_frame(family, message))
+
+
+link_drivers: Registry[Callable[[TargetLink, Any], None]] = Registry(
+    'link driver',
+)
+
+
+@link_drivers.register('Run')
+def _run(link: TargetLink, action: Run) -> None:
+    link.run_request(action.request, action.remaining_s)
+
+
+@link_drivers.register('Stop')
+def _stop(link: TargetLink, action: Stop) -> None:
+    link.stop_request(action.request_id)
+
+
+@link_drivers.register('Pause')
+def _pause(link: TargetLink, action: Pause) -> None:
+    link.pause_request(action.request_id)
+
+
+@link_drivers.register('Resume')
+def _resume(link: TargetLink, action: Resume) -> None:
+    link.resume_request(action.request_id)
--- a/cumindrift/traffic/ledger.py
+++ b/cumindrift/traffic/ledger.py
@@ -1,15 +1,21 @@
 """The request ledger: what an agent knows of each request id."""
 
+from collections import deque
 from enum import Enum, unique
 
 from attrs import define, field
 
 from cumindrift.address import Endpoint
-from cumindrift.caller.message import Request
+from cumindrift.caller.message import MS_PER_S, PART_BODY_BYTES, Request
 from cumindrift.code import ResultCode
 
 ENTRY_KEPT_S = 300.0
-ENTRIES_MAX = 200_000
+ENTRIES_MAX = 50_000
+ANSWERS_MAX_BYTES = 16 * 1024 * 1024
+CLOCK_SLACK_S = 1.0
+# An adopted clock reads ahead by the time that the hand-over took.
+ADOPTED_SLACK_S = 60.0
+PUSH_PARTS = 16
 
 
 @unique
@@ -23,38 +29,187 @@
     FORBIDDEN = 'forbidden'
 
 
+@define(slots=True)
+class KeptAnswer:
+    """The parts of one answer that its caller may still ask for."""
+
+    status: int = 0
+    first_kept: int = 0
+    part_count: int = 0
+    asked_until: int = PUSH_PARTS
+    parts: dict[int, bytes] = field(factory=dict)
+    tail: bytes = b''
+
+    def take(self, body: bytes) -> list[int]:
+        """Cuts the octets into parts; returns the numbers completed."""
+        self.tail += body
+        first = self.part_count
+        while len(self.tail) > PART_BODY_BYTES:
+            self._add(self.tail[:PART_BODY_BYTES])
+            self.tail = self.tail[PART_BODY_BYTES:]
+        return list(range(first, self.part_count))
+
+    def finish(self) -> int:
+        """Completes the last part; returns its number."""
+        self._add(self.tail)
+        self.tail = b''
+        return self.part_count - 1
+
+    def drop_before(self, number: int) -> int:
+        """Drops the parts before `number`; returns the octets freed."""
+        last = min(number, self.part_count)
+        freed_bytes = sum(
+            len(self.parts.pop(key)) for key in range(self.first_kept, last)
+        )
+        self.first_kept = max(self.first_kept, last)
+        return freed_bytes
+
+    def sendable(self, first: int, last: int) -> range:
+        """Returns the kept numbers from `first` up to before `last`."""
+        return range(max(first, self.first_kept), min(last, self.part_count))
+
+    @property
+    def size_bytes(self) -> int:
+        """The octets kept."""
+        return sum(map(len, self.parts.values())) + len(self.tail)
+
+    def _add(self, piece: bytes) -> None:
+        self.parts[self.part_count] = piece
+        self.part_count += 1
+
+
 @define(slots=True)
 class Entry:
     """One request id, its answer as far as it is there, and who asked."""
 
-    request: Request
+    request_id: bytes
     caller: Endpoint
+    born_s: float
     admitted_s: float
     deadline_s: float
+    # Only until the request has ended.
+    request: Request | None = None
+    transmission: int = 0
     state: EntryState = EntryState.QUEUED
     code: ResultCode = ResultCode.STILL_RUNNING
-    started_s: float = 0.0
-    changed_s: float = 0.0
-    status: int = 0
-    parts: dict[int, bytes] = field(factory=dict)
-    tail: bytes = b''
-    part_count: int = 0
-    asked_until: int = 0
+    started_s: float | None = None
+    ended_s: float = 0.0
+    asked_s: float = 0.0
+    is_paused: bool = False
+    answer: KeptAnswer | None = None
+
+    @property
+    def is_ended(self) -> bool:
+        """Whether the request neither waits nor runs."""
+        return self.state not in {EntryState.QUEUED, EntryState.RUNNING}
+
+    def turn_to(self, caller: Endpoint, transmission: int) -> None:
+        """Follows a caller whose address changed; late copies do not."""
+        if transmission >= self.transmission:
+            self.caller = caller
+            self.transmission = transmission
 
 
 @define(slots=True)
 class Ledger:
-    """Remembers request ids for ENTRY_KEPT_S; used by the request core."""
+    """Remembers request ids, bounded by time, by count and by octets.
+
+    Used by the request core. Whatever was born at or before the floor may
+    have been forgotten, so an unknown id from that time must not run. The
+    floor rises with time, and with each entry dropped early.
+    """
 
+    incarnation: int
+    entries_max: int = ENTRIES_MAX
+    answers_max_bytes: int = ANSWERS_MAX_BYTES
     entries: dict[bytes, Entry] = field(factory=dict)
+    # Ids whose answers are whole and not acknowledged, oldest first.
+    undelivered: dict[bytes, None] = field(factory=dict)
+    # Incarnations this ledger answers for: their clock plus the offset is
+    # the own clock.
+    epochs: dict[int, float] = field(factory=dict)
+    floor_s: float = float('-inf')
+    # The ledger was handed over: another process decides from now on.
+    is_sealed: bool = False
+    answer_bytes: int = 0
+    _ended: deque[bytes] = field(factory=deque)
+
+    def __attrs_post_init__(self) -> None:
+        """Answers for the own incarnation."""
+        self.epochs[self.incarnation] = 0.0
+
+    def refusal(
+        self,
+        incarnation: int,
+        born_ms: int,
+        now_s: float,
+    ) -> ResultCode | None:
+        """Tells why an id without an entry cannot be judged, if so."""
+        if incarnation not in self.epochs:
+            return ResultCode.OTHER_INCARNATION
+        born_s = self.born_s(incarnation, born_ms)
+        floor_s = max(self.floor_s, now_s - ENTRY_KEPT_S)
+        is_own = incarnation == self.incarnation
+        slack_s = CLOCK_SLACK_S if is_own else ADOPTED_SLACK_S
+        if born_s <= floor_s or born_s > now_s + slack_s:
+            return ResultCode.ID_EXPIRED
+        return None
+
+    def born_s(self, incarnation: int, born_ms: int) -> float:
+        """Returns a birth time on the own clock."""
+        return born_ms / MS_PER_S + self.epochs[incarnation]
+
+    def add(self, entry: Entry) -> None:
+        """Remembers a new id."""
+        self.entries[entry.request_id] = entry
+
+    def end(
+        self,
+        entry: Entry,
+        state: EntryState,
+        code: ResultCode,
+        now_s: float,
+    ) -> None:
+        """Closes an entry; only whole answers stay kept."""
+        entry.state = state
+        entry.code = code
+        entry.ended_s = now_s
+        entry.request = None
+        entry.is_paused = False
+        self._ended.append(entry.request_id)
+        if state is EntryState.DONE:
+            self.undelivered[entry.request_id] = None
+            self._bound_answers()
+        else:
+            self.drop_answer(entry)
+
+    def keep(self, size_bytes: int) -> None:
+        """Counts octets of answers, and drops old answers to make room."""
+        self.answer_bytes += size_bytes
+        self._bound_answers()
+
+    def drop_answer(self, entry: Entry) -> None:
+        """Drops an answer: acknowledged, broken or in the way."""
+        self.undelivered.pop(entry.request_id, None)
+        if entry.answer is not None:
+            self.answer_bytes -= entry.answer.size_bytes
+            entry.answer = None
 
     def expire(self, now_s: float) -> None:
-        """Forgets ended entries whose time is over."""
-        over = [
-            request_id
-            for request_id, entry in self.entries.items()
-            if entry.state not in {EntryState.QUEUED, EntryState.RUNNING}
-            and now_s - entry.changed_s > ENTRY_KEPT_S
-        ]
-        for request_id in over:
-            self.entries.pop(request_id)
+        """Forgets ended entries that are old or too many."""
+        while self._ended:
+            entry = self.entries[self._ended[0]]
+            is_old = entry.ended_s <= now_s - ENTRY_KEPT_S
+            if not is_old and len(self.entries) <= self.entries_max:
+                return
+            self._ended.popleft()
+            self._forget(entry)
+
+    def _forget(self, entry: Entry) -> None:
+        self.drop_answer(entry)
+        self.entries.pop(entry.request_id)
+        self.floor_s = max(self.floor_s, entry.born_s)
+
+    def _bound_answers(self) -> None:
+        while self.answer_bytes > self.answers_max_bytes and self.undelivered:
+            self.drop_answer(self.entries[next(iter(self.undelivered))])
--- a/cumindrift/traffic/request.py
+++ b/cumindrift/traffic/request.py
@@ -1,63 +1,62 @@
 """Requests at an agent: admitted, run at most once, answered in parts."""
 
 from collections import deque
-from typing import Any
+from random import Random
 
 from attrs import define, field
 
 from cumindrift.address import Endpoint
 from cumindrift.caller.message import (
-    PART_BODY_BYTES,
+    MS_PER_S,
+    REQUEST_ID_BYTES,
     Acknowledge,
     Cancel,
-    Part,
     PartAsk,
     Request,
     Verdict,
 )
 from cumindrift.code import ResultCode
+from cumindrift.invariant import require
 from cumindrift.traffic.admission import Admission
-from cumindrift.traffic.ledger import Entry, EntryState, Ledger
+from cumindrift.traffic.ledger import (
+    Entry,
+    EntryState,
+    KeptAnswer,
+    Ledger,
+)
+from cumindrift.traffic.reply import (
+    Ended,
+    Pause,
+    Reply,
+    RequestAction,
+    Resume,
+    Run,
+    Stop,
+    answer_again,
+    parts_of,
+    verdict_of,
+)
 
-PUSH_PARTS = 16
 QUEUE_MAX = 16
-_MS_PER_S = 1000
-
-
-@define(frozen=True, slots=True)
-class Reply:
-    """Send a message to a caller."""
-
-    caller: Endpoint
-    message: Any
-
-
-@define(frozen=True, slots=True)
-class Run:
-    """Hand a request to the target, with the time that is left for it."""
-
-    request: Request
-    remaining_s: float
-
-
-@define(frozen=True, slots=True)
-class Stop:
-    """Break off a request at the target by closing its connection."""
-
-    request_id: bytes
-
-
-RequestAction = Reply | Run | Stop
+READ_AHEAD_PARTS = 32
+CALLER_QUIET_S = 30.0
+DELIVERY_MAX_S = 10.0
+STATUS_SHED = 503
+RETRY_HINT_MIN_S = 0.05
 
 
 @define(slots=True)
 class RequestCore:
     """Decides for each request message; used by the requests front end."""
 
-    incarnation: int
+    ledger: Ledger
     admission: Admission
-    ledger: Ledger = field(factory=Ledger)
+    random: Random
+    checks_deadlines: bool = True
+    queue_max: int = QUEUE_MAX
     _queue: deque[bytes] = field(factory=deque)
+    _running: dict[bytes, Entry] = field(factory=dict)
+    _stopping_since_s: float | None = None
 
     def on_request(
         self,
@@ -66,45 +65,48 @@
         now_s: float,
     ) -> list[RequestAction]:
         """Runs a request whose id is new; answers again for a known one."""
+        if self.ledger.is_sealed:
+            return []
         entry = self.ledger.entries.get(request.request_id)
         if entry is not None:
-            entry.caller = caller
-            return self._answer_again(entry)
-        if request.incarnation != self.incarnation:
-            return [_verdict(request, caller, ResultCode.OTHER_INCARNATION)]
-        deadline_s = now_s + request.remaining_ms / _MS_PER_S
-        entry = Entry(
-            request, caller, now_s, deadline_s, asked_until=PUSH_PARTS
-        )
-        self.ledger.entries[request.request_id] = entry
-        if len(self._queue) >= QUEUE_MAX:
-            return [self._forbid(entry, ResultCode.NO_ROOM, now_s)]
+            entry.turn_to(caller, request.transmission)
+            return answer_again(entry, caller)
+        code = self._refusal(request, now_s)
+        if code is not None:
+            return [Reply(caller, Verdict(request.request_id, code))]
+        entry = self._admit(request, caller, now_s)
+        if self._stopping_since_s is not None:
+            return self._forbid(entry, ResultCode.STOPPING, now_s)
+        if not self._can_wait(entry, now_s):
+            return self._forbid(entry, ResultCode.NO_ROOM, now_s)
         self._queue.append(request.request_id)
-        return self._start_next(now_s)
+        return self.start_next(now_s)
 
     def on_part_ask(
-        self, ask: PartAsk, caller: Endpoint
+        self,
+        ask: PartAsk,
+        caller: Endpoint,
+        now_s: float,
     ) -> list[RequestAction]:
         """Sends the parts asked for; those before them are dropped."""
         entry = self.ledger.entries.get(ask.request_id)
+        if self.ledger.is_sealed:
+            return []
         if entry is None:
             code = ResultCode.OUTCOME_UNKNOWN
-            if ask.incarnation != self.incarnation:
+            if ask.incarnation not in self.ledger.epochs:
                 code = ResultCode.OTHER_INCARNATION
-            return [Reply(caller, Verdict(ask.request_id, code, 0))]
+            return [Reply(caller, Verdict(ask.request_id, code))]
+        answer = entry.answer
+        if answer is None or ask.first_number < answer.first_kept:
+            return answer_again(entry, caller, ask.first_number)
         entry.caller = caller
-        for number in [key for key in entry.parts if key < ask.first_number]:
-            entry.parts.pop(number)
-        entry.asked_until = max(
-            entry.asked_until,
-            ask.first_number + ask.part_count,
-        )
-        last = min(ask.first_number + ask.part_count, entry.part_count)
-        return [
-            _part(entry, number)
-            for number in range(ask.first_number, last)
-            if number in entry.parts
-        ]
+        entry.asked_s = now_s
+        until = ask.first_number + ask.part_count
+        self.ledger.keep(-answer.drop_before(ask.first_number))
+        answer.asked_until = max(answer.asked_until, until)
+        actions = parts_of(entry, caller, answer.sendable(0, until))
+        return [*actions, *_resume(entry)] or [verdict_of(entry, caller)]
 
     def on_cancel(
         self,
@@ -113,74 +115,77 @@
         now_s: float,
     ) -> list[RequestAction]:
         """Forbids an id that has not started, stops one that runs."""
+        if self.ledger.is_sealed:
+            return []
         entry = self.ledger.entries.get(cancel.request_id)
         if entry is None:
-            code = ResultCode.OTHER_INCARNATION
-            if cancel.incarnation == self.incarnation:
-                request = Request(
-                    cancel.request_id,
-                    self.incarnation,
-                    False,
-                    0,
-                    0,
-                    '',
-                    '',
-                    b'',
-                )
-                entry = Entry(request, caller, now_s, now_s)
-                self.ledger.entries[cancel.request_id] = entry
-                return [self._forbid(entry, ResultCode.CANCELLED, now_s)]
-            return [Reply(caller, Verdict(cancel.request_id, code, 0))]
+            return self._cancel_unseen(cancel, caller, now_s)
         if entry.state is EntryState.QUEUED:
-            return [self._forbid(entry, ResultCode.CANCELLED, now_s)]
+            return self._forbid(entry, ResultCode.CANCELLED, now_s)
         if entry.state is EntryState.RUNNING:
-            self._end(
-                entry, EntryState.BROKEN, ResultCode.OUTCOME_UNKNOWN, now_s
-            )
-            self.admission.in_flight -= 1
             return [
-                Stop(cancel.request_id),
-                _verdict(entry.request, caller, entry.code),
-                *self._start_next(now_s),
+                *self._break(entry, ResultCode.OUTCOME_UNKNOWN, now_s),
+                *self.start_next(now_s),
             ]
-        return self._answer_again(entry)
+        return answer_again(entry, caller)
 
     def on_acknowledge(self, message: Acknowledge) -> None:
         """Drops the parts of an answer that its caller has whole."""
         entry = self.ledger.entries.get(message.request_id)
         if entry is not None and entry.state is EntryState.DONE:
-            entry.parts.clear()
+            self.ledger.drop_answer(entry)
 
-    def on_body(
+    def on_head(
         self,
         request_id: bytes,
         status: int,
-        body: bytes,
+        now_s: float,
     ) -> list[RequestAction]:
+        """Takes the status of the target's answer.
+
+        By 503 the target says that it did not run the request.
+        """
+        entry = self._running.get(request_id)
+        if entry is None:
+            return []
+        if status == STATUS_SHED:
+            actions = self._shed(entry, ResultCode.TARGET_SHED, now_s)
+            return [Stop(request_id), *actions]
+        self.admission.on_head(request_id, now_s)
+        entry.answer = KeptAnswer(status)
+        entry.asked_s = now_s
+        return []
+
+    def on_body(self, request_id: bytes, body: bytes) -> list[RequestAction]:
         """Takes a piece of the target's answer."""
-        entry = self.ledger.entries.get(request_id)
-        if entry is None or entry.state is not EntryState.RUNNING:
+        entry = self._running.get(request_id)
+        if entry is None or entry.answer is None:
             return []
-        entry.status = status
-        entry.tail += body
-        actions: list[RequestAction] = []
-        while len(entry.tail) > PART_BODY_BYTES:
-            piece = entry.tail[:PART_BODY_BYTES]
-            entry.tail = entry.tail[PART_BODY_BYTES:]
-            actions.extend(self._add_part(entry, piece))
+        answer = entry.answer
+        numbers = answer.take(body)
+        self.ledger.keep(len(body))
+        actions = parts_of(
+            entry,
+            entry.caller,
+            [number for number in numbers if number < answer.asked_until],
+        )
+        is_ahead = answer.part_count >= answer.asked_until + READ_AHEAD_PARTS
+        if is_ahead and not entry.is_paused:
+            entry.is_paused = True
+            actions.append(Pause(request_id))
         return actions
 
     def on_end(self, request_id: bytes, now_s: float) -> list[RequestAction]:
         """Completes the answer of a request."""
-        entry = self.ledger.entries.get(request_id)
-        if entry is None or entry.state is not EntryState.RUNNING:
+        entry = self._running.get(request_id)
+        if entry is None or entry.answer is None:
             return []
-        self._end(entry, EntryState.DONE, ResultCode.DONE, now_s)
-        self.admission.on_good()
-        return [
-            *self._add_part(entry, entry.tail),
-            *self._start_next(now_s),
-        ]
+        last = entry.answer.finish()
+        caller = entry.caller
+        wanted = [last] if last < entry.answer.asked_until else []
+        self._leave(entry, EntryState.DONE, ResultCode.DONE, now_s)
+        parts = parts_of(entry, caller, wanted) if entry.answer else []
+        return [*parts, Ended(entry), *self.start_next(now_s)]
 
     def on_failure(
         self,
@@ -190,103 +195,219 @@
         was_sent: bool,
     ) -> list[RequestAction]:
         """Notes that the target broke off, or was never reached."""
-        entry = self.ledger.entries.get(request_id)
-        if entry is None or entry.state is not EntryState.RUNNING:
+        entry = self._running.get(request_id)
+        if entry is None:
             return []
-        self.admission.on_bad()
-        if was_sent:
-            self._end(entry, EntryState.BROKEN, ResultCode.TARGET_FAILED, now_s)
-            verdict = _verdict(entry.request, entry.caller, entry.code)
-        else:
-            verdict = self._forbid(entry, ResultCode.NO_ROOM, now_s)
-        return [verdict, *self._start_next(now_s)]
+        if not was_sent:
+            return self._shed(entry, ResultCode.NOT_SENT, now_s)
+        self.admission.on_bad(now_s)
+        actions = self._break(entry, ResultCode.TARGET_FAILED, now_s)
+        return [*actions[1:], *self.start_next(now_s)]
 
     def tick(self, now_s: float) -> list[RequestAction]:
         """Refuses what waited too long, stops what runs past its time."""
         actions: list[RequestAction] = []
-        for request_id, entry in list(self.ledger.entries.items()):
-            if entry.deadline_s > now_s:
-                continue
-            if entry.state is EntryState.RUNNING:
-                self._end(
-                    entry,
-                    EntryState.BROKEN,
-                    ResultCode.DEADLINE_PASSED,
-                    now_s,
-                )
-                self.admission.in_flight -= 1
-                actions.append(Stop(request_id))
-                actions.append(
-                    _verdict(entry.request, entry.caller, entry.code),
+        self.admission.check(now_s)
+        for entry in list(self._running.values()):
+            code = _overdue_code(entry, now_s)
+            if code is not None and self.checks_deadlines:
+                actions.extend(self._break(entry, code, now_s))
+        for request_id in list(self._queue):
+            entry = self.ledger.entries[request_id]
+            if self._is_too_late(entry, now_s):
+                actions.extend(
+                    self._forbid(entry, ResultCode.TOO_LATE, now_s),
                 )
         self.ledger.expire(now_s)
-        return [*actions, *self._start_next(now_s)]
+        return [*actions, *self.start_next(now_s)]
 
-    @property
-    def open_count(self) -> int:
-        """Returns the requests that are queued or running."""
-        return len(self._queue) + self.admission.in_flight
+    def stop(self, now_s: float) -> list[RequestAction]:
+        """Begins a planned stop: no new work, the queue is given back."""
+        if self._stopping_since_s is not None:
+            return []
+        self._stopping_since_s = now_s
+        actions: list[RequestAction] = []
+        for request_id in list(self._queue):
+            entry = self.ledger.entries[request_id]
+            actions.extend(self._forbid(entry, ResultCode.STOPPING, now_s))
+        return actions
+
+    def has_stopped(self, now_s: float) -> bool:
+        """Tells whether all that ran has ended and was delivered.
+
+        Answers that nobody acknowledges are kept for a bounded time.
+        """
+        if self._stopping_since_s is None or self._running:
+            return False
+        ledger = self.ledger
+        return not any(
+            now_s - ledger.entries[request_id].ended_s < DELIVERY_MAX_S
+            for request_id in ledger.undelivered
+        )
 
-    def _start_next(self, now_s: float) -> list[RequestAction]:
+    def start_next(self, now_s: float) -> list[RequestAction]:
+        """Starts what the target has room for, dropping what is late."""
         actions: list[RequestAction] = []
-        while self._queue and self.admission.may_start():
-            entry = self.ledger.entries[self._queue.popleft()]
-            if entry.state is not EntryState.QUEUED:
-                continue
-            if entry.deadline_s <= now_s:
-                actions.append(self._forbid(entry, ResultCode.TOO_LATE, now_s))
+        while self._queue and self.admission.may_start(now_s):
+            entry = self.ledger.entries[self._queue[0]]
+            if self._is_too_late(entry, now_s):
+                actions.extend(
+                    self._forbid(entry, ResultCode.TOO_LATE, now_s),
+                )
                 continue
-            entry.state = EntryState.RUNNING
-            entry.started_s = now_s
-            self.admission.on_start()
-            actions.append(Run(entry.request, entry.deadline_s - now_s))
+            self._queue.popleft()
+            actions.append(self._start(entry, now_s))
         return actions
 
-    def _answer_again(self, entry: Entry) -> list[RequestAction]:
-        if entry.state is EntryState.DONE:
-            last = min(entry.asked_until, entry.part_count)
-            return [
-                _part(entry, number)
-                for number in range(last)
-                if number in entry.parts
-            ]
-        return [_verdict(entry.request, entry.caller, entry.code)]
-
-    def _add_part(self, entry: Entry, piece: bytes) -> list[RequestAction]:
-        number = entry.part_count
-        entry.parts[number] = piece
-        entry.part_count += 1
-        if number < entry.asked_until:
-            return [_part(entry, number)]
-        return []
+    @property
+    def open_count(self) -> int:
+        """Returns the requests that are queued or running."""
+        return len(self._queue) + len(self._running)
+
+    def _refusal(self, request: Request, now_s: float) -> ResultCode | None:
+        if len(request.request_id) != REQUEST_ID_BYTES:
+            return ResultCode.BAD_REQUEST
+        return self.ledger.refusal(
+            request.incarnation,
+            request.born_ms,
+            now_s,
+        )
+
+    def _admit(
+        self,
+        request: Request,
+        caller: Endpoint,
+        now_s: float,
+    ) -> Entry:
+        entry = Entry(
+            request.request_id,
+            caller,
+            self.ledger.born_s(request.incarnation, request.born_ms),
+            now_s,
+            now_s + request.remaining_ms / MS_PER_S,
+            request,
+            request.transmission,
+        )
+        self.ledger.add(entry)
+        return entry
+
+    def _can_wait(self, entry: Entry, now_s: float) -> bool:
+        if len(self._queue) >= self.queue_max:
+            return False
+        return not self.checks_deadlines or (
+            now_s + self._wait_s() < entry.deadline_s
+        )
 
-    def _forbid(self, entry: Entry, code: ResultCode, now_s: float) -> Reply:
-        self._end(entry, EntryState.FORBIDDEN, code, now_s)
-        return _verdict(entry.request, entry.caller, code)
+    def _wait_s(self) -> float:
+        admission = self.admission
+        turns = (len(self._queue) + 1) / admission.limit
+        return turns * admission.expected_s()
+
+    def _is_too_late(self, entry: Entry, now_s: float) -> bool:
+        due_s = now_s + self.admission.expected_s()
+        return self.checks_deadlines and due_s >= entry.deadline_s
+
+    def _start(self, entry: Entry, now_s: float) -> Run:
+        require(
+            entry.state is EntryState.QUEUED and entry.started_s is None,
+            'request-runs-once',
+            request_id=entry.request_id.hex(),
+            state=entry.state.value,
+        )
+        entry.state = EntryState.RUNNING
+        entry.started_s = now_s
+        self._running[entry.request_id] = entry
+        self.admission.on_start(entry.request_id, now_s)
+        return Run(entry.request, entry.deadline_s - now_s)
 
-    def _end(
+    def _cancel_unseen(
+        self,
+        cancel: Cancel,
+        caller: Endpoint,
+        now_s: float,
+    ) -> list[RequestAction]:
+        request_id = cancel.request_id
+        code = self.ledger.refusal(cancel.incarnation, cancel.born_ms, now_s)
+        if code is not None:
+            return [Reply(caller, Verdict(request_id, code))]
+        born_s = self.ledger.born_s(cancel.incarnation, cancel.born_ms)
+        entry = Entry(request_id, caller, born_s, now_s, now_s)
+        self.ledger.add(entry)
+        return self._forbid(entry, ResultCode.CANCELLED, now_s)
+
+    def _shed(
+        self,
+        entry: Entry,
+        code: ResultCode,
+        now_s: float,
+    ) -> list[RequestAction]:
+        # The only way from RUNNING to "not run": the target never had it.
+        require(
+            entry.answer is None,
+            'shed-before-answer',
+            request_id=entry.request_id.hex(),
+        )
+        self.admission.on_bad(now_s)
+        self._leave(entry, EntryState.FORBIDDEN, code, now_s)
+        verdict = verdict_of(entry, entry.caller, self._hint_ms())
+        return [verdict, Ended(entry), *self.start_next(now_s)]
+
+    def _forbid(
+        self,
+        entry: Entry,
+        code: ResultCode,
+        now_s: float,
+    ) -> list[RequestAction]:
+        require(
+            entry.started_s is None,
+            'not-run-is-true',
+            request_id=entry.request_id.hex(),
+        )
+        if entry.request_id in self._queue:
+            self._queue.remove(entry.request_id)
+        self.ledger.end(entry, EntryState.FORBIDDEN, code, now_s)
+        return [verdict_of(entry, entry.caller, self._hint_ms()), Ended(entry)]
+
+    def _break(
+        self,
+        entry: Entry,
+        code: ResultCode,
+        now_s: float,
+    ) -> list[RequestAction]:
+        if code is ResultCode.DEADLINE_PASSED:
+            self.admission.on_overdue(entry.request_id, now_s)
+        self._leave(entry, EntryState.BROKEN, code, now_s)
+        verdict = verdict_of(entry, entry.caller)
+        return [Stop(entry.request_id), verdict, Ended(entry)]
+
+    def _leave(
         self,
         entry: Entry,
         state: EntryState,
         code: ResultCode,
         now_s: float,
     ) -> None:
-        entry.state = state
-        entry.code = code
-        entry.changed_s = now_s
+        self._running.pop(entry.request_id)
+        self.admission.on_over(entry.request_id)
+        self.ledger.end(entry, state, code, now_s)
 
+    def _hint_ms(self) -> int:
+        wait_s = max(RETRY_HINT_MIN_S, self._wait_s())
+        return int(wait_s * MS_PER_S * (0.5 + self.random.random()))
 
-def _verdict(request: Request, caller: Endpoint, code: ResultCode) -> Reply:
-    return Reply(caller, Verdict(request.request_id, code, 0))
 
+def _overdue_code(entry: Entry, now_s: float) -> ResultCode | None:
+    if entry.deadline_s <= now_s:
+        return ResultCode.DEADLINE_PASSED
+    if entry.is_paused and now_s - entry.asked_s > CALLER_QUIET_S:
+        return ResultCode.CALLER_QUIET
+    return None
 
-def _part(entry: Entry, number: int) -> Reply:
-    is_last = entry.state is EntryState.DONE and number == entry.part_count - 1
-    part = Part(
-        entry.request.request_id,
-        number,
-        is_last,
-        entry.status,
-        entry.parts[number],
-    )
-    return Reply(entry.caller, part)
+
+def _resume(entry: Entry) -> list[RequestAction]:
+    answer = entry.answer
+    room = answer.asked_until + READ_AHEAD_PARTS // 2 - answer.part_count
+    if not entry.is_paused or room <= 0:
+        return []
+    entry.is_paused = False
+    return [Resume(entry.request_id)]
--- a/cumindrift/traffic/target.py
+++ b/cumindrift/traffic/target.py
@@ -10,13 +10,19 @@
 
 from cumindrift.address import Endpoint
 from cumindrift.caller.message import Request
+from cumindrift.port import find_poller
 from cumindrift.supervision import Child
 
+_LENGTH_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
+
 
 class AnswerSink(Protocol):
     """What the link tells of a request; the requests front is one."""
 
-    def on_body(self, request_id: bytes, status: int, body: bytes) -> None:
+    def on_head(self, request_id: bytes, status: int) -> None:
+        """Takes the status of the answer."""
+
+    def on_body(self, request_id: bytes, body: bytes) -> None:
         """Takes a piece of the answer."""
 
     def on_end(self, request_id: bytes) -> None:
@@ -45,11 +51,20 @@
         self._sink = sink
         self._on_over = on_over
         self._http = h11.Connection(h11.CLIENT)
-        self._status = 0
         self._was_sent = False
         self._is_over = False
         self._client = TCPClient(channel=self.channel).register(self)
 
+    def pause(self) -> None:
+        """Stops reading; the target feels it by its full send buffer."""
+        if not self._is_over:
+            find_poller(self).removeReader(self._socket())
+
+    def resume(self) -> None:
+        """Reads on."""
+        if not self._is_over:
+            find_poller(self).addReader(self._client, self._socket())
+
     def break_off(self) -> None:
         """Closes the connection; the target takes it as cancellation."""
         self._finish()
@@ -58,6 +73,10 @@
         """Closes the connection when the link is restarted."""
         self._fail()
 
+    def _socket(self) -> Any:
+        # circuits offers no other way to pause a client.
+        return self._client._sock  # noqa: WPS437
+
     @handler('ready')
     def _on_ready(self, _client: object) -> None:
         self.fire(connect(*self._endpoint.pair()), self.channel)
@@ -115,15 +134,23 @@
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
             if isinstance(event, h11.Response):
-                self._status = event.status_code
+                self._on_head(event)
             elif isinstance(event, h11.Data):
-                self._sink.on_body(request_id, self._status, bytes(event.data))
+                self._sink.on_body(request_id, bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 self._finish()
                 self._sink.on_end(request_id)
             else:
                 self._fail()
 
+    def _on_head(self, response: h11.Response) -> None:
+        names = {name for name, _ in response.headers}
+        if not names & _LENGTH_HEADERS:
+            # Ended by closing only: whole and cut answers look alike.
+            self._fail()
+            return
+        self._sink.on_head(self._request.request_id, response.status_code)
+
     def _fail(self) -> None:
         if not self._is_over:
             self._finish()
@@ -170,6 +197,18 @@
         if exchange is not None:
             exchange.break_off()
 
+    def pause_request(self, request_id: bytes) -> None:
+        """Stops reading the answer of a request."""
+        exchange = self._exchanges.get(request_id)
+        if exchange is not None:
+            exchange.pause()
+
+    def resume_request(self, request_id: bytes) -> None:
+        """Reads the answer of a request on."""
+        exchange = self._exchanges.get(request_id)
+        if exchange is not None:
+            exchange.resume()
+
     def release(self) -> None:
         """Breaks off all exchanges."""
         for exchange in list(self._exchanges.values()):
--- a/standin/target.py
+++ b/standin/target.py
@@ -1,4 +1,4 @@
-"""Target stand-in: slots, speed and a cold start that can fall over."""
+"""Target stand-in: an HTTP server over the work model, and a packet port."""
 
 import json
 from collections import deque
@@ -19,6 +19,7 @@
 from cumindrift.supervision import Child, ChildSpec, Supervisor
 from cumindrift.ticker import Ticker
 from cumindrift.traffic.packet import read_packet
+from standin.model import WorkModel
 
 _HTTP = flags.DEFINE_string('http', None, 'Where the HTTP server listens.')
 _PACKETS = flags.DEFINE_string('packets', None, 'Where packets arrive.')
@@ -29,35 +30,6 @@
 
 TICK_PERIOD_S = 0.01
 DOWNLOAD_CHUNK_BYTES = 16_384
-COLD_SHARE = 0.25
-
-
-@define(slots=True)
-class WorkModel:
-    """The speed of a target that warms up and falls over when pressed."""
-
-    slots: int
-    speed: float
-    warm_s: float
-    cold_since_s: float
-    fallen_until_s: float = 0.0
-
-    def bearable(self, now_s: float) -> int:
-        """Returns how many requests at once the target bears now."""
-        warmth = min(1.0, (now_s - self.cold_since_s) / max(self.warm_s, 1e-9))
-        share = COLD_SHARE + (1 - COLD_SHARE) * warmth
-        return max(1, int(self.slots * share))
-
-    def press(self, running: int, now_s: float) -> bool:
-        """Notes the load; False when the target has fallen over."""
-        if running > 2 * self.bearable(now_s):
-            self.fallen_until_s = now_s + 1.0
-            self.cold_since_s = now_s + 1.0
-        return now_s >= self.fallen_until_s
-
-    def turn_cold(self, now_s: float) -> None:
-        """Makes the target cold again, without a warning to anybody."""
-        self.cold_since_s = now_s
 
 
 @define(slots=True)
@@ -67,7 +39,7 @@
     http: h11.Connection = field(factory=lambda: h11.Connection(h11.SERVER))
     head: h11.Request | None = None
     body: bytes = b''
-    due_s: float = 0.0
+    key: str = ''
 
 
 class TargetServer(Child):
@@ -78,7 +50,7 @@
         super().__init__(channel='target')
         self._jobs: dict[Any, Job] = {}
         self._waiting: deque[Any] = deque()
-        self._running: set[Any] = set()
+        self._running: dict[str, Any] = {}
         self._runs: dict[str, int] = {}
         self._packet_count = 0
         self.model = WorkModel(
@@ -106,8 +78,10 @@
 
     @handler('disconnect')
     def _on_disconnect(self, sock: Any) -> None:
-        self._jobs.pop(sock, None)
-        self._running.discard(sock)
+        job = self._jobs.pop(sock, None)
+        if job is not None and self._running.get(job.key) is sock:
+            self._running.pop(job.key)
+            self.model.stop(job.key)
 
     @handler('read')
     def _on_read(self, sock: Any, octets: bytes) -> None:
@@ -149,26 +123,27 @@
 
     def _tick(self) -> None:
         now_s = monotonic()
-        for sock in [
-            sock for sock in self._running if self._jobs[sock].due_s <= now_s
-        ]:
-            self._running.discard(sock)
-            self._finish(sock)
+        for key in self.model.advance(now_s):
+            self._finish(self._running.pop(key))
         while self._waiting and len(self._running) < self.model.slots:
             self._start(self._waiting.popleft(), now_s)
+        while self.model.broken:
+            sock = self._running.pop(self.model.broken.pop())
+            self.fire(close(sock), self.channel)
 
     def _start(self, sock: Any, now_s: float) -> None:
         job = self._jobs.get(sock)
         if job is None:
             return
-        if not self.model.press(len(self._running) + 1, now_s):
+        headers = dict(job.head.headers)
+        name = headers.get(b'idempotency-key', b'').decode()
+        key = f'{name}-{id(job)}'
+        if not self.model.start(key, _WORK_S.value, now_s):
             self._answer(sock, 503, b'fallen over')
             return
-        headers = dict(job.head.headers)
-        key = headers.get(b'idempotency-key', b'').decode()
-        self._runs[key] = self._runs.get(key, 0) + 1
-        job.due_s = now_s + _WORK_S.value / self.model.speed
-        self._running.add(sock)
+        job.key = key
+        self._runs[name] = self._runs.get(name, 0) + 1
+        self._running[key] = sock
 
     def _finish(self, sock: Any) -> None:
         job = self._jobs[sock]
