--- a/cumindrift/code.py
+++ b/cumindrift/code.py
@@ -47,7 +47,7 @@
     FLOW_LOST = 306, 'Unknown: the agent asked does not hold the flow.'
     CALLER_QUIET = 307, 'Unknown: stopped, the caller took no more parts.'
 
-    HANDOVER_PENDING = 305, 'Stored, but no peer has confirmed it yet.'
+    HANDOVER_PENDING = 308, 'Stored, but no peer has confirmed it yet.'
 
     SYNTAX = 400, 'The document cannot be parsed.'
     UNKNOWN_FIELD = 401, 'A field is not known at this place.'
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -56,7 +56,7 @@
       | every answer is lost and the store goes down            | 503  | 2       | 1         |
       | the same write is repeated after its answer was lost    | 103  | 2       | 2         |
       | the platform is down                                    | 500  | 1       | 1         |
-      | no peer confirms the snapshot                           | 305  | 2       | 2         |
+      | no peer confirms the snapshot                           | 308  | 2       | 2         |
       | the write is repeated once peers are back               | 103  | 2       | 2         |
       | a write changes nothing                                 | 103  | 1       | 1         |
       | a stale version is rolled forward to                    | 404  | 2       | 2         |
--- a/standin/target.py
+++ b/standin/target.py
@@ -53,6 +53,7 @@
         self._running: dict[str, Any] = {}
         self._runs: dict[str, int] = {}
         self._packet_count = 0
+        self._last_start_s: float | None = None
         self.model = WorkModel(
             _SLOTS.value,
             _SPEED.value,
@@ -119,8 +120,15 @@
             'slots': self.model.slots,
             'speed': self.model.speed,
             'runs': sum(self._runs.values()),
+            'idle_s': self._idle_s(),
         }
 
+    def _idle_s(self) -> float:
+        """Returns the time since a request started, negative for never."""
+        if self._last_start_s is None:
+            return -1.0
+        return monotonic() - self._last_start_s
+
     def _tick(self) -> None:
         now_s = monotonic()
         for key in self.model.advance(now_s):
@@ -142,6 +150,7 @@
             self._answer(sock, 503, b'fallen over')
             return
         job.key = key
+        self._last_start_s = now_s
         self._runs[name] = self._runs.get(name, 0) + 1
         self._running[key] = sock
 
