--- a/cumindrift/caller/client.py
+++ b/cumindrift/caller/client.py
@@ -36,6 +36,7 @@
         self._port = DatagramPort(own, self._receive)
         super().__init__(channel=f'client-{self._port.endpoint}')
         self._fabric = fabric
+        self._is_finished = False
         self._service = service
         self._clock = clock
         self.session = Session(SystemRandom(), on_outcome)
@@ -59,6 +60,7 @@
     def finish(self) -> None:
         """Closes the flow and the socket."""
         self._send(self.session.close())
+        self._is_finished = True
         self.release()
         self.unregister()
 
@@ -73,6 +75,8 @@
         self._send(self.session.tick(self._clock()))
 
     def _send(self, payloads: list[bytes]) -> None:
+        if self._is_finished:
+            return
         for payload in payloads:
             packet = udp_packet(self._port.endpoint, self._service, payload)
             self._port.send(packet, self._fabric.pair())
--- a/cumindrift/port.py
+++ b/cumindrift/port.py
@@ -1,6 +1,7 @@
 """Datagram ports: one handler drains many datagrams a readiness."""
 
 from collections.abc import Callable
+from itertools import count
 from socket import AF_INET, SO_RCVBUF, SO_SNDBUF, SOCK_DGRAM, SOL_SOCKET, socket
 
 from circuits import handler
@@ -16,6 +17,8 @@
 DATAGRAM_BYTES_MAX = 65535
 SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
 
+_SERIALS = count()
+
 Receiver = Callable[[bytes, tuple[str, int]], None]
 
 
@@ -28,7 +31,8 @@
 
     def __init__(self, endpoint: Endpoint, receive: Receiver) -> None:
         """Binds at once; raises OSError when the address is taken."""
-        super().__init__(channel=f'port-{endpoint}')
+        # Ports that let the kernel choose must not share a channel.
+        super().__init__(channel=f'port-{endpoint}-{next(_SERIALS)}')
         self._receive = receive
         self._label = str(endpoint)
         self._sock = socket(AF_INET, SOCK_DGRAM)
@@ -70,15 +74,18 @@
         """Hands over what has arrived, up to DRAIN_MAX; returns how many."""
         receive = self._receive
         receive_from = self._sock.recvfrom
-        for count in range(DRAIN_MAX):
+        for taken_count in range(DRAIN_MAX):
             try:
                 datagram, pair = receive_from(DATAGRAM_BYTES_MAX)
             except BlockingIOError:
-                return count
+                return taken_count
             except ConnectionError:
                 # An earlier send met a closed port; nothing was lost here.
                 continue
             receive(datagram, pair)
+            if self._poller is None:
+                # What was received made its receiver close this port.
+                return taken_count + 1
         return DRAIN_MAX
 
     @handler('registered', channel='*')
--- a/cumindrift/settings/tree.py
+++ b/cumindrift/settings/tree.py
@@ -22,7 +22,8 @@
 
     `endpoints` plans how many targets stand in each data centre, and
     `peak_slots` how many slots the service needs at its busiest; the
-    handover report compares both with the targets that are there.
+    handover report compares both with the targets that are there. The
+    targets named in `draining` get no new flows; those they hold go on.
     """
 
     ip: str
@@ -46,6 +47,7 @@
     slots: int = field(default=4, validator=validators.ge(1))
     connections_max: int = field(default=2000, validator=validators.ge(1))
     peak_slots: int = field(default=0, validator=validators.ge(0))
+    draining: tuple[str, ...] = ()
 
     def endpoint(self) -> Endpoint:
         """Returns the address that callers send to."""
--- a/cumindrift/traffic/agent.py
+++ b/cumindrift/traffic/agent.py
@@ -7,6 +7,7 @@
 
 from cumindrift.address import Endpoint
 from cumindrift.context import Context
+from cumindrift.membership.member import MemberState
 from cumindrift.membership.view import ServiceName, View
 from cumindrift.metric import DROPS, FLOWS_HELD, HOPS
 from cumindrift.registry import Registry
@@ -96,12 +97,21 @@
         service = team.services.get(self.target.service) if team else None
         if service is None:
             return
+        self._follow_draining(service)
         self.finder.opener.policy = policies.get(service.placement)
         wanted = fronts.get(service.front)
         if not isinstance(self.front, wanted):
             self.front = wanted(self.context, self.finder)
             self.attach_link(self.link)
 
+    def _follow_draining(self, service: Service) -> None:
+        membership = self.context.membership
+        wanted = MemberState.SERVING
+        if membership.me.name in service.draining:
+            wanted = MemberState.DRAINING
+        if membership.me.state is not wanted:
+            self.context.send_all(membership.change_state(wanted))
+
     def attach_link(self, link: TargetLink | None) -> None:
         """Connects the link to the target with the front end."""
         self.link = link
--- a/lab/incident.py
+++ b/lab/incident.py
@@ -11,7 +11,7 @@
 from attrs import define
 
 from cumindrift.registry import Registry
-from lab.layout import balancer_ip
+from lab.layout import TEAM, balancer_ip, target_places
 
 ADMIN_PORT = 7200
 HTTP_TIMEOUT_S = 5.0
@@ -53,6 +53,19 @@
     set_data_centre(data_centre, 'in')
 
 
+@incidents.register('drain')
+def drain_target(name: str) -> None:
+    """Names a target as draining, as its team does."""
+    ip = balancer_ip(1)
+    current = call_admin(ip, 'GET', '/settings')
+    service = next(
+        place.service for place in target_places() if place.name == name
+    )
+    services = current['tree']['teams'][TEAM]['services']
+    services[service]['draining'] = [name]
+    call_admin(ip, 'PUT', '/settings', current['tree'])
+
+
 @incidents.register('kill')
 def kill_process(process: str) -> None:
     """Kills a process without a warning."""
