Membership by probes, rumours and digests instead of full-state gossip

Cause: each message carried every member, so its size grew with the fleet and 19,100 members could not be carried.

Change: a sans-I/O core in small parts. A freeze keeps and marks members when too many of a group are silent at once, and ends by itself. Views share what did not change.

--- a/cumindrift/code.py
+++ b/cumindrift/code.py
@@ -69,3 +69,5 @@
     HOP_LIMIT = 705, 'A packet used up its hops.'
     SEND_BUFFER_FULL = 706, 'The kernel took no more datagrams.'
     WRONG_SERVICE = 707, 'A packet reached an agent of another service.'
+    MESSAGE_STALE = 708, 'A peer message is of an old incarnation or probe.'
+    MESSAGE_MISDIRECTED = 709, 'A peer message was meant for another process.'
--- a/cumindrift/membership/member.py
+++ b/cumindrift/membership/member.py
@@ -30,11 +30,34 @@
 )
 
 
+# States in which a member is in no view any more.
+GONE_STATES = frozenset((MemberState.LEFT, MemberState.DEAD))
+
+
 def member_id_of(name: str) -> int:
     """Returns the 64-bit id of a member's name."""
     return xxh3_64_intdigest(name.encode())
 
 
+@define(frozen=True, slots=True)
+class Claim:
+    """A member's state at one revision, without what never changes.
+
+    What a member announces besides stays the same for an incarnation, so
+    most news of it is a claim.
+    """
+
+    member_id: int
+    incarnation: int
+    revision: int
+    state: MemberState
+
+    @property
+    def rank(self) -> tuple[int, int, int]:
+        """Returns what orders claims on one member, the newest last."""
+        return (self.incarnation, self.revision, self.state)
+
+
 @define(frozen=True, slots=True)
 class Member:
     """What one process announces of itself; views are made of these.
@@ -61,7 +84,25 @@
         if not self.member_id:
             object.__setattr__(self, 'member_id', member_id_of(self.name))
 
+    @property
+    def rank(self) -> tuple[int, int, int]:
+        """Returns what orders records of one member, the newest last."""
+        return (self.incarnation, self.revision, self.state)
+
+    @property
+    def is_gone(self) -> bool:
+        """Tells whether the member left or died."""
+        return self.state in GONE_STATES
+
+    def claim(self) -> Claim:
+        """Returns the part of the record that changes."""
+        return Claim(
+            self.member_id,
+            self.incarnation,
+            self.revision,
+            self.state,
+        )
+
     def newer_than(self, other: 'Member') -> bool:
         """Tells whether this record replaces `other`."""
-        mine = (self.incarnation, self.revision, self.state)
-        return mine > (other.incarnation, other.revision, other.state)
+        return self.rank > other.rank
--- a/cumindrift/membership/message.py
+++ b/cumindrift/membership/message.py
@@ -1,26 +1,127 @@
 """Messages of the membership supervisor between processes."""
 
-from attrs import define
+from attrs import define, field
 
-from cumindrift.membership.member import Member
-from cumindrift.wire import Family
+from cumindrift.address import Endpoint
+from cumindrift.membership.member import Claim, Member
+from cumindrift.membership.row import claim_columns, member_columns
+from cumindrift.wire import Family, carry_in_columns
 
 membership = Family(5, 'membership.capnp', 'MembershipMessage')
 
+carry_in_columns(Claim, *claim_columns)
+carry_in_columns(Member, *member_columns)
+
+
+@define(frozen=True, slots=True)
+class Sender:
+    """Who sent a message, in which state, and where it takes answers."""
+
+    claim: Claim
+    endpoint: Endpoint
+
+
+@define(frozen=True, slots=True)
+class News:
+    """What a message carries of other members besides its purpose."""
+
+    claims: tuple[Claim, ...] = ()
+    suspicions: tuple[Claim, ...] = ()
+
+
+NO_NEWS = News()
+
+
+@membership.message('ping')
+@define(frozen=True, slots=True)
+class Ping:
+    """Asks for an `Ack`; a doubted member also announces itself anew.
+
+    `origin` is the prober: a helper pings with the prober as origin and
+    passes the answer on.
+    """
+
+    sender: Sender
+    origin: Endpoint
+    sequence: int
+    target_id: int
+    is_doubted: bool
+    news: News = field(default=NO_NEWS)
+
+
+@membership.message('ack')
+@define(frozen=True, slots=True)
+class Ack:
+    """Answers a `Ping` of the same sequence number.
+
+    `subject` is the member that was pinged, `origin` the prober.
+    """
+
+    sender: Sender
+    origin: Endpoint
+    sequence: int
+    subject: Claim
+    news: News = field(default=NO_NEWS)
+
+
+@membership.message('pingRequest')
+@define(frozen=True, slots=True)
+class PingRequest:
+    """Asks a helper to ping a member that did not answer."""
+
+    sender: Sender
+    sequence: int
+    target_id: int
+    target: Endpoint
+    is_doubted: bool
+
 
 @membership.message('gossip')
 @define(frozen=True, slots=True)
 class Gossip:
-    """What the sender believes of some members."""
+    """Carries news only."""
+
+    sender: Sender
+    news: News
+
+
+@membership.message('digest')
+@define(frozen=True, slots=True)
+class Digest:
+    """Asks a peer to compare; one 64-bit sum for each bucket of ids."""
+
+    sender: Sender
+    sums: bytes
+    wants_digest: bool
 
-    sender: Member
-    members: tuple[Member, ...]
-    wants_answer: bool
 
+@membership.message('listing')
+@define(frozen=True, slots=True)
+class Listing:
+    """All that the sender has of the ids from `first_id` to `last_id`."""
+
+    sender: Sender
+    first_id: int
+    last_id: int
+    claims: tuple[Claim, ...]
+
+
+@membership.message('want')
+@define(frozen=True, slots=True)
+class Want:
+    """Asks for the whole records of some members."""
 
-@membership.message('leave')
+    sender: Sender
+    member_ids: tuple[int, ...]
+
+
+@membership.message('records')
 @define(frozen=True, slots=True)
-class Leave:
-    """Tells that the sender leaves in order."""
+class Records:
+    """Whole records, as an answer to a `Digest`, `Listing` or `Want`."""
+
+    sender: Sender
+    members: tuple[Member, ...]
+
 
-    sender: Member
+Message = Ping | Ack | PingRequest | Gossip | Digest | Listing | Want | Records
--- /dev/null
+++ b/cumindrift/membership/suspicion.py
@@ -0,0 +1,149 @@
+"""Suspicions: how many at once, and when removal is frozen."""
+
+from collections import Counter
+
+from attrs import define, field
+from xxhash import xxh3_64_intdigest
+
+from cumindrift.membership.member import Member
+from cumindrift.membership.table import MemberTable, groups_of
+
+# How many of a data centre or region may be silent at once before the
+# fault is taken to be ours: a share, within two bounds.
+FREEZE_SHARE = 0.3
+FREEZE_COUNT_MIN = 3
+FREEZE_COUNT_MAX = 256
+
+# How long a suspicion counts.
+SUSPICION_S = 10.0
+
+REVIEW_PERIOD_S = 0.4
+
+# How long a frozen member is kept, and the span over which removals spread.
+HOLD_S = 30.0
+HOLD_JITTER_S = 30.0
+
+_JITTER_STEPS = 1024
+
+
+@define(slots=True)
+class Suspicion:
+    """One silent member; it is held when its removal was frozen."""
+
+    member: Member
+    until_s: float
+    is_held: bool = False
+
+    @property
+    def member_id(self) -> int:
+        """Returns the id of the silent member."""
+        return self.member.member_id
+
+
+@define(slots=True, eq=False)
+class FreezeGuard:
+    """Counts silent members by group and freezes removal; one a process.
+
+    A freeze ends by itself: each member that was held is removed after
+    HOLD_S and a jitter that follows from its id, so that all processes
+    remove it at nearly the same time.
+    """
+
+    suspicions: dict[int, Suspicion] = field(factory=dict)
+    _counts: Counter[tuple[str, str]] = field(factory=Counter)
+    # Made anew after a change only: it may have thousands of members.
+    _held: frozenset[int] | None = None
+    _reviewed_s: float = float('-inf')
+
+    @property
+    def held(self) -> frozenset[int]:
+        """Returns the members that stay although they are silent."""
+        if self._held is None:
+            self._held = frozenset(
+                member_id
+                for member_id, suspicion in self.suspicions.items()
+                if suspicion.is_held
+            )
+        return self._held
+
+    def suspect(self, member: Member, now_s: float) -> bool:
+        """Notes a silent member; True when it is news."""
+        known = self.suspicions.get(member.member_id)
+        if known is not None:
+            if not known.is_held:
+                known.until_s = now_s + SUSPICION_S
+            return False
+        suspicion = Suspicion(member, now_s + SUSPICION_S)
+        self.suspicions[member.member_id] = suspicion
+        self._counts.update(groups_of(member))
+        return True
+
+    def hold(self, member: Member, now_s: float) -> None:
+        """Keeps a silent member while removal is frozen."""
+        self.suspect(member, now_s)
+        suspicion = self.suspicions[member.member_id]
+        if not suspicion.is_held:
+            suspicion.is_held = True
+            self._held = None
+            suspicion.until_s = now_s + HOLD_S + _jitter_s(member)
+
+    def clear(self, member_id: int) -> bool:
+        """Ends a suspicion; True when there was one."""
+        suspicion = self.suspicions.pop(member_id, None)
+        if suspicion is None:
+            return False
+        if suspicion.is_held:
+            self._held = None
+        self._counts.subtract(groups_of(suspicion.member))
+        return True
+
+    def is_frozen(
+        self,
+        member: Member,
+        sizes: Counter[tuple[str, str]],
+    ) -> bool:
+        """Tells whether too many of the member's groups are silent."""
+        return any(
+            self._counts[group] >= freeze_count(sizes[group])
+            for group in groups_of(member)
+        )
+
+    def review(self, table: MemberTable, now_s: float) -> list[Member]:
+        """Holds whom a freeze concerns, and forgets old suspicions.
+
+        Returns the held members that are to be removed now.
+        """
+        if now_s < self._reviewed_s + REVIEW_PERIOD_S:
+            return []
+        self._reviewed_s = now_s
+        for suspicion in self.suspicions.values():
+            if not suspicion.is_held and suspicion.member_id in table.live:
+                self._review(suspicion, table, now_s)
+        due = [
+            suspicion
+            for suspicion in self.suspicions.values()
+            if suspicion.until_s <= now_s
+        ]
+        for suspicion in due:
+            self.clear(suspicion.member_id)
+        return [suspicion.member for suspicion in due if suspicion.is_held]
+
+    def _review(
+        self,
+        suspicion: Suspicion,
+        table: MemberTable,
+        now_s: float,
+    ) -> None:
+        if self.is_frozen(suspicion.member, table.group_sizes):
+            self.hold(suspicion.member, now_s)
+
+
+def freeze_count(size: int) -> int:
+    """Returns how many silent members of a group freeze removal."""
+    share = round(size * FREEZE_SHARE)
+    return max(FREEZE_COUNT_MIN, min(share, FREEZE_COUNT_MAX))
+
+
+def _jitter_s(member: Member) -> float:
+    step = xxh3_64_intdigest(member.name.encode()) % _JITTER_STEPS
+    return HOLD_JITTER_S * step / _JITTER_STEPS
--- a/cumindrift/membership/view.py
+++ b/cumindrift/membership/view.py
@@ -1,12 +1,13 @@
 """Views: what one process believes of the members, at one moment."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from functools import cached_property
 
 from attrs import define
 from xxhash import xxh3_64_intdigest
 
 from cumindrift.membership.member import CANDIDATE_STATES, Member
+from cumindrift.membership.shard import ShardedMap
 
 
 @define(frozen=True, slots=True)
@@ -20,12 +21,53 @@
         return f'{self.team}/{self.service}'
 
 
+class ServiceMembers:
+    """The members of one service; successive views share it unchanged."""
+
+    def __init__(self, members: dict[int, Member]) -> None:
+        """Takes the members by their ids."""
+        self.members = members
+        self._out: frozenset[str] = frozenset()
+        self._targets: tuple[Member, ...] | None = None
+        self._version: int | None = None
+
+    def targets(self, out: frozenset[str]) -> tuple[Member, ...]:
+        """Returns the possible candidates, ordered by id."""
+        if self._targets is None or out != self._out:
+            chosen = (
+                member
+                for member in self.members.values()
+                if member.state in CANDIDATE_STATES
+                and member.data_centre not in out
+            )
+            self._targets = tuple(
+                sorted(chosen, key=lambda member: member.member_id),
+            )
+            self._out = out
+            self._version = None
+        return self._targets
+
+    def version(self, out: frozenset[str]) -> int:
+        """Returns a digest of the candidates and where they are."""
+        targets = self.targets(out)
+        if self._version is None:
+            lines = ','.join(
+                f'{member.member_id}@{member.endpoint}' for member in targets
+            )
+            self._version = xxh3_64_intdigest(lines.encode())
+        return self._version
+
+
+_NOBODY = ServiceMembers({})
+
+
 class View:
     """An unchanging set of members, indexed for the traffic cores.
 
-    Membership makes a new view for each change; flows are placed and found
-    by its `service_version`, a digest that is equal wherever the same
-    candidates are seen, so that it needs no agreement.
+    Membership makes a new view for each batch of changes; flows are placed
+    and found by its `service_version`, a digest that is equal wherever the
+    same candidates are seen, so that it needs no agreement. `suspects` are
+    candidates that do not answer but are kept while removal is frozen.
     """
 
     def __init__(
@@ -34,19 +76,36 @@
         data_centres_out: frozenset[str] = frozenset(),
     ) -> None:
         """Takes the members and the data centres that were taken out."""
-        self.members = {member.member_id: member for member in members}
+        self.members: ShardedMap[int, Member] = ShardedMap()
         self.data_centres_out = data_centres_out
-        self._targets: dict[ServiceName, tuple[Member, ...]] = {}
-        self._versions: dict[ServiceName, int] = {}
+        self.suspects: frozenset[int] = frozenset()
+        self._services: ShardedMap[ServiceName, ServiceMembers] = ShardedMap()
+        self._take({member.member_id: member for member in members})
+
+    def successor(
+        self,
+        changes: Mapping[int, Member | None],
+        data_centres_out: frozenset[str],
+        suspects: frozenset[int],
+    ) -> 'View':
+        """Returns a view with the changes; None takes a member away.
+
+        What did not change is shared with this view, at a cost that grows
+        with the changes and not with the members.
+        """
+        view = View((), data_centres_out)
+        view.members = self.members
+        view.suspects = suspects
+        view._services = self._services
+        if data_centres_out != self.data_centres_out:
+            view._part_services()
+        view._take(changes)
+        return view
 
     @cached_property
     def services(self) -> frozenset[ServiceName]:
         """Returns the services that have a target in any state."""
-        return frozenset(
-            ServiceName(member.team, member.service)
-            for member in self.members.values()
-            if member.service
-        )
+        return frozenset(self._services)
 
     def is_out(self, member: Member) -> bool:
         """Tells whether the member's data centre was taken out."""
@@ -54,26 +113,46 @@
 
     def targets(self, name: ServiceName) -> tuple[Member, ...]:
         """Returns the possible candidates of a service, ordered by id."""
-        if name not in self._targets:
-            chosen = (
-                member
-                for member in self.members.values()
-                if member.service == name.service
-                and member.team == name.team
-                and member.state in CANDIDATE_STATES
-                and not self.is_out(member)
-            )
-            self._targets[name] = tuple(
-                sorted(chosen, key=lambda member: member.member_id),
-            )
-        return self._targets[name]
+        members = self._services.get(name, _NOBODY)
+        return members.targets(self.data_centres_out)
 
     def service_version(self, name: ServiceName) -> int:
         """Returns a digest of the service's candidates and where they are."""
-        if name not in self._versions:
-            lines = ','.join(
-                f'{member.member_id}@{member.endpoint}'
-                for member in self.targets(name)
-            )
-            self._versions[name] = xxh3_64_intdigest(lines.encode())
-        return self._versions[name]
+        members = self._services.get(name, _NOBODY)
+        return members.version(self.data_centres_out)
+
+    def _take(self, changes: Mapping[int, Member | None]) -> None:
+        moved: dict[ServiceName, dict[int, Member]] = {}
+        for member_id, member in changes.items():
+            former = self.members.get(member_id)
+            if former is not None and former.service:
+                self._open_service(moved, former).pop(member_id, None)
+            if member is not None and member.service:
+                self._open_service(moved, member)[member_id] = member
+        self.members = self.members.updated(changes)
+        self._services = self._services.updated(
+            {
+                name: ServiceMembers(members) if members else None
+                for name, members in moved.items()
+            },
+        )
+
+    def _open_service(
+        self,
+        moved: dict[ServiceName, dict[int, Member]],
+        member: Member,
+    ) -> dict[int, Member]:
+        name = ServiceName(member.team, member.service)
+        if name not in moved:
+            former = self._services.get(name, _NOBODY)
+            moved[name] = dict(former.members)
+        return moved[name]
+
+    def _part_services(self) -> None:
+        # The former view keeps its own: each caches what it answers.
+        self._services = self._services.updated(
+            {
+                name: ServiceMembers(service.members)
+                for name, service in self._services.items()
+            },
+        )
--- a/cumindrift/wire.py
+++ b/cumindrift/wire.py
@@ -1,7 +1,9 @@
 """Cap'n Proto encoding of the messages between processes."""
 
+from collections.abc import Callable
 from functools import partial
 from importlib.resources import files
+from itertools import starmap
 from typing import Any, TypeVar
 
 import capnp
@@ -60,6 +62,33 @@
 _CONVERTER = _make_converter()
 
 
+def carry_in_columns(
+    cls: type,
+    columns: tuple[str, ...],
+    to_row: Callable[[Any], tuple[Any, ...]],
+    from_row: Callable[..., Any],
+) -> None:
+    """Lets every tuple of `cls` travel as one list for each column.
+
+    A list of numbers or texts is converted in one step, a list of structs
+    field by field, which takes more than ten times as long.
+    """
+
+    def is_tuple_of_cls(kind: Any) -> bool:
+        return kind == tuple[cls, ...]
+
+    def unstructure(rows: tuple[Any, ...]) -> dict[str, list[Any]]:
+        lists = zip(*map(to_row, rows), strict=True) if rows else ()
+        return dict(zip(columns, map(list, lists), strict=False))
+
+    def structure(bare: dict[str, list[Any]], _: Any) -> tuple[Any, ...]:
+        lists = [bare.get(column, ()) for column in columns]
+        return tuple(starmap(from_row, zip(*lists, strict=True)))
+
+    _CONVERTER.register_unstructure_hook_func(is_tuple_of_cls, unstructure)
+    _CONVERTER.register_structure_hook_func(is_tuple_of_cls, structure)
+
+
 class Family:
     """One schema file and the message classes in its union.
 
