Keyrings count other keys; faults of peer messages in tables

Cause: a change of keys had no sign of when the former key may go, and an empty sealed body was counted as forged.

Change: a counter of datagrams that another key than the first opened; empty bodies count as malformed. Feature tables for keys and for forged, cut, foreign and malformed datagrams. Measurements of membership in lab.

--- a/cumindrift/keyring.py
+++ b/cumindrift/keyring.py
@@ -3,6 +3,8 @@
 from hashlib import blake2b
 from hmac import compare_digest
 
+from cumindrift.metric import OTHER_KEY
+
 DIGEST_BYTES = 16
 
 
@@ -10,7 +12,9 @@
     """Seals and opens datagrams; every port between processes has one.
 
     The first key seals. All keys open, so that a key can be changed by
-    adding the new one everywhere before it moves to the front.
+    adding the new one everywhere before it moves to the front. A process
+    counts what another than its first key opened; the former key can go
+    once no process counts any more.
     """
 
     def __init__(self, keys: tuple[bytes, ...]) -> None:
@@ -31,6 +35,8 @@
         digest = datagram[-DIGEST_BYTES:]
         for hasher in self._hashers:
             if compare_digest(_digest(hasher, body), digest):
+                if hasher is not self._hashers[0]:
+                    OTHER_KEY.inc()
                 return body
         return None
 
--- a/cumindrift/metric.py
+++ b/cumindrift/metric.py
@@ -17,6 +17,10 @@
     'Packets and messages dropped, by result code name.',
     ('code',),
 )
+OTHER_KEY = Counter(
+    'cumindrift_other_key_datagrams',
+    'Peer datagrams that another key than the first opened.',
+)
 VIOLATIONS = Counter(
     'cumindrift_invariant_violations',
     'Invariants found violated; any count is a fault of the program.',
--- a/cumindrift/peer.py
+++ b/cumindrift/peer.py
@@ -35,10 +35,10 @@
 
     def _open_datagram(self, datagram: bytes, _pair: tuple[str, int]) -> None:
         frame = self._context.keyring.open(datagram)
-        if not frame:
+        if frame is None:
             DROPS.labels(ResultCode.MESSAGE_FORGED.name).inc()
             return
-        receiver = self._context.receivers.get(frame[0])
+        receiver = self._context.receivers.get(frame[0]) if frame else None
         if receiver is None:
             DROPS.labels(ResultCode.MESSAGE_MALFORMED.name).inc()
             return
--- /dev/null
+++ b/features/builders/peer.py
@@ -0,0 +1,88 @@
+"""Builds peer ports and the datagrams that they meet."""
+
+from attrs import evolve
+
+from cumindrift.context import Context, make_context
+from cumindrift.keyring import Keyring
+from cumindrift.membership.message import Records, Sender, membership
+from cumindrift.peer import PeerPort
+from cumindrift.settings.process import ProcessSettings
+from cumindrift.wire import encode_frame
+from lab.member_cluster import make_member
+
+KEYS = {name: name.encode() * 16 for name in 'abc'}
+
+
+def ring(names: str) -> Keyring:
+    """Returns the keyring of keys such as ``a,b``."""
+    return Keyring(tuple(KEYS[name] for name in names.split(',')))
+
+
+def peer_context() -> Context:
+    """Returns a context with key a; its port binds any free number."""
+    settings = ProcessSettings(
+        role='balancer',
+        name='balancer-1',
+        region='fi-south',
+        data_centre='hel-a',
+        peer='127.0.0.1:0',
+        admin='127.0.0.1:0',
+        keys=(KEYS['a'].hex(),),
+    )
+    return make_context(settings)
+
+
+def recording_port(received: list):
+    """Returns a peer port whose membership messages land in a list."""
+    context = peer_context()
+    port = PeerPort(context)
+    context.receivers[membership.number] = lambda message, _now_s: (
+        received.append(message)
+    )
+    return port
+
+
+def datagram_that_is(kind: str) -> bytes:
+    """Returns a datagram with the fault named, or a whole one."""
+    member = make_member(1)
+    sender = Sender(member.claim(), member.endpoint)
+    frame = encode_frame(membership, Records(sender, (member, member)))
+    whole = ring('a').seal(frame)
+    odd = evolve(sender, claim=evolve(sender.claim, state=99))
+    datagrams = {
+        'whole and sealed': whole,
+        'empty': b'',
+        'shorter than a digest': whole[-9:],
+        'sealed with a foreign key': ring('c').seal(frame),
+        'not sealed': frame,
+        'sealed and changed in one bit': bytes([whole[0] ^ 1]) + whole[1:],
+        'sealed and cut short': whole[:-40],
+        'sealed with nothing in it': ring('a').seal(b''),
+        'sealed with an unknown family': ring('a').seal(b'\xfa' + frame[1:]),
+        'sealed with half a message': ring('a').seal(frame[: len(frame) // 2]),
+        'sealed with a state of 99': ring('a').seal(
+            encode_frame(membership, Records(odd, ())),
+        ),
+        'sealed with uneven columns': ring('a').seal(uneven_frame(sender)),
+    }
+    return datagrams[kind]
+
+
+def uneven_frame(sender: Sender) -> bytes:
+    """Returns a frame whose list of names is longer than the others."""
+    union = membership._union
+    claim = sender.claim
+    message = union.new_message(
+        records={
+            'sender': {
+                'claim': {
+                    'memberId': claim.member_id,
+                    'incarnation': claim.incarnation,
+                    'state': int(claim.state),
+                },
+                'endpoint': {'ip': sender.endpoint.ip, 'port': 7000},
+            },
+            'members': {'names': ['a', 'b'], 'roles': ['agent']},
+        },
+    )
+    return bytes((membership.number,)) + message.to_bytes()
--- /dev/null
+++ b/features/steps/keyring_steps.py
@@ -0,0 +1,70 @@
+"""Steps of the keyring feature."""
+
+from behave import given, then, when
+
+from cumindrift.metric import DROPS
+from features.builders.peer import datagram_that_is, recording_port, ring
+
+
+@given('a datagram that was sealed with key {name}')
+def step_sealed(context, name):
+    context.datagram = ring(name).seal(b'body')
+
+
+@when('it is opened by a keyring of {names}')
+def step_opened(context, names):
+    context.opened = ring(names).open(context.datagram)
+
+
+@then('it is {outcome:w}')
+def step_outcome(context, outcome):
+    wanted = {'opened': b'body', 'refused': None}[outcome]
+    assert context.opened == wanted, context.opened
+
+
+@given('processes with the keys of each step of a change from a to b')
+def step_change(context):
+    context.rings = [ring(names) for names in ('a', 'a,b', 'b,a', 'b')]
+
+
+@then("the processes of any two neighbouring steps open each other's words")
+def step_neighbours(context):
+    for one, next_one in zip(context.rings, context.rings[1:], strict=False):
+        assert one.open(next_one.seal(b'body')) == b'body'
+        assert next_one.open(one.seal(b'body')) == b'body'
+
+
+@then('those of the first and the last step do not')
+def step_ends(context):
+    first, *_, last = context.rings
+    assert first.open(last.seal(b'body')) is None
+    assert last.open(first.seal(b'body')) is None
+
+
+@given('a peer port that shares key a with its peers')
+def step_port(context):
+    context.received = []
+    context.port = recording_port(context.received)
+    context.add_cleanup(context.port.release)
+
+
+@when('a datagram arrives that is {kind}')
+def step_arrives(context, kind):
+    context.counts = {
+        code: DROPS.labels(code)._value.get()
+        for code in ('MESSAGE_FORGED', 'MESSAGE_MALFORMED')
+    }
+    context.port._open_datagram(datagram_that_is(kind), ('127.0.0.1', 1))
+
+
+@then('it is counted as {code} and reaches no core')
+def step_counted(context, code):
+    assert not context.received, context.received
+    for name, before in context.counts.items():
+        counted = DROPS.labels(name)._value.get() - before
+        assert counted == (name == code), (name, counted)
+
+
+@then('it reaches the core')
+def step_reaches(context):
+    assert len(context.received) == 1
--- /dev/null
+++ b/lab/membership.py
@@ -0,0 +1,216 @@
+"""Measures membership in virtual time, with the real core and encoding.
+
+Prints one row a measurement. Run as ``python -m lab.membership
+--measure=detection --counts=50,200,800 --seed=1``.
+"""
+
+import sys
+from collections.abc import Callable
+from functools import partial
+from random import Random
+
+from absl import app, flags
+from tabulate import tabulate
+
+from cumindrift.invariant import be_strict
+from cumindrift.registry import Registry
+from lab.member_cluster import MemberCluster
+from lab.network import VirtualNetwork
+
+_MEASURE = flags.DEFINE_string('measure', 'load', 'Which measurement.')
+_COUNTS = flags.DEFINE_list('counts', ['50', '200'], 'Sizes of the cluster.')
+_LOSS = flags.DEFINE_float('loss', 0, 'Share of messages that is lost.')
+_SEED = flags.DEFINE_integer('seed', 1, 'Seed of all randomness.')
+_SECONDS = flags.DEFINE_float('seconds', 60, 'Virtual time measured.')
+_DEATHS = flags.DEFINE_integer('deaths', 20, 'Deaths a size.')
+
+Row = list[object]
+
+measures: Registry[Callable[[int], Row]] = Registry('measurement')
+
+SETTLE_S = 20.0
+PAUSE_S = 5.0
+NOTICE_LIMIT_S = 60.0
+STEP_S = 0.05
+
+
+def make_cluster(count: int, *, is_encoded: bool) -> MemberCluster:
+    """Returns a joined cluster that has settled."""
+    network = VirtualNetwork(Random(_SEED.value))
+    network.loss_share = _LOSS.value
+    cluster = MemberCluster(network, is_encoded)
+    cluster.start_joined(count)
+    cluster.run(SETTLE_S)
+    return cluster
+
+
+def notice_s(cluster: MemberCluster, number: int) -> float:
+    """Stops a member; returns the time until nobody sees it any more."""
+    start_s = cluster.network.now_s
+    cluster.stop(number)
+    while cluster.seeing(number):
+        cluster.run(STEP_S)
+        if cluster.network.now_s - start_s > NOTICE_LIMIT_S:
+            break
+    return cluster.network.now_s - start_s
+
+
+@measures.register('detection')
+def measure_detection(count: int) -> Row:
+    """Time until all have noticed a death, over many deaths."""
+    cluster = make_cluster(count, is_encoded=False)
+    times_s = []
+    for _ in range(_DEATHS.value):
+        number = cluster.network.random.randrange(count)
+        times_s.append(notice_s(cluster, number))
+        cluster.resume(number)
+        cluster.run(PAUSE_S)
+    times_s.sort()
+    return [
+        f'{len(times_s)} deaths',
+        f'median {times_s[len(times_s) // 2]:.2f} s',
+        f'max {times_s[-1]:.2f} s',
+        f'false {false_removals(cluster, count)}',
+    ]
+
+
+@measures.register('false-deaths')
+def measure_false_deaths(count: int) -> Row:
+    """Members wrongly removed or suspected, with nobody dying."""
+    cluster = make_cluster(count, is_encoded=False)
+    removals = 0
+    for _ in range(int(_SECONDS.value)):
+        cluster.run(1.0)
+        removals += false_removals(cluster, count)
+    revisions = sum(core.me.revision for core in cluster.running())
+    return [
+        f'{_SECONDS.value:.0f} s',
+        f'false removals {removals}',
+        f'refutations {revisions - count}',
+    ]
+
+
+def false_removals(cluster: MemberCluster, count: int) -> int:
+    """Returns how many running members others have buried right now."""
+    return sum(
+        count - len(core.view.members) + len(cluster.stopped)
+        for core in cluster.running()
+        if len(core.view.members) < count - len(cluster.stopped)
+    )
+
+
+@measures.register('load')
+def measure_load(count: int) -> Row:
+    """Bytes and processor time a second for each member, at rest."""
+    cluster = make_cluster(count, is_encoded=True)
+    return spent(cluster, count, _SECONDS.value)
+
+
+@measures.register('churn')
+def measure_churn(count: int) -> Row:
+    """The same while members restart, one every 10 seconds."""
+    cluster = make_cluster(count, is_encoded=True)
+    start(cluster)
+    for turn in range(int(_SECONDS.value / 10)):
+        number = cluster.network.random.randrange(count)
+        cluster.start(number, incarnation=turn + 2)
+        cluster.run(10.0)
+    return spent(cluster, count, 0, _SECONDS.value)
+
+
+@measures.register('mass-restart')
+def measure_mass_restart(count: int) -> Row:
+    """Every member restarts within 10 seconds, with the seeds only."""
+    cluster = make_cluster(count, is_encoded=True)
+    start(cluster)
+    return comeback(cluster, count, range(count))
+
+
+@measures.register('centre-back')
+def measure_centre_back(count: int) -> Row:
+    """One data centre of four is lost, removed, and restarts at once."""
+    cluster = make_cluster(count, is_encoded=True)
+    lost = range(1, count, 4)
+    for number in lost:
+        cluster.stop(number)
+    cluster.run(100.0)
+    seen = {len(core.view.members) for core in cluster.running()}
+    start(cluster)
+    return [f'seen without it {seen}', *comeback(cluster, count, lost)]
+
+
+def comeback(cluster: MemberCluster, count: int, numbers: range) -> Row:
+    """Restarts members over 10 s; returns the time until all see all."""
+    begin_s = cluster.network.now_s
+    for number in numbers:
+        cluster.network.at(
+            begin_s + cluster.network.random.random() * 10,
+            partial(cluster.start, number, 2),
+        )
+    cluster.run(10.0)
+    while not is_whole(cluster, count):
+        cluster.run(0.5)
+        if cluster.network.now_s - begin_s > NOTICE_LIMIT_S * 10:
+            break
+    whole_s = cluster.network.now_s - begin_s
+    return [
+        f'whole again after {whole_s:.1f} s',
+        *spent(cluster, count, 0, whole_s),
+    ]
+
+
+def is_whole(cluster: MemberCluster, count: int) -> bool:
+    """Tells whether all see all, in the newest incarnation."""
+    newest = {core.me.claim().member_id: core for core in cluster.running()}
+    return all(
+        len(core.view.members) == count
+        and all(
+            member.incarnation == newest[member_id].me.incarnation
+            for member_id, member in core.view.members.items()
+        )
+        for core in cluster.running()
+    )
+
+
+def start(cluster: MemberCluster) -> None:
+    """Sets the meter to zero."""
+    cluster.meter = type(cluster.meter)()
+
+
+def spent(
+    cluster: MemberCluster,
+    count: int,
+    run_s: float,
+    passed_s: float = 0,
+) -> Row:
+    """Returns what each member spent a second, sending and receiving."""
+    if run_s:
+        start(cluster)
+        cluster.run(run_s)
+    meter = cluster.meter
+    member_s = count * (run_s or passed_s)
+    return [
+        f'{meter.sent_count / member_s:.2f} messages/s',
+        f'{meter.sent_bytes / member_s / 1000:.2f} KB/s sent',
+        f'{meter.cpu_ns / member_s / 1e7:.3f} % of a core',
+        f'largest datagram {meter.largest_bytes} bytes',
+    ]
+
+
+def _run(_arguments: list[str]) -> None:
+    be_strict()
+    measure = measures.get(_MEASURE.value)
+    for size in _COUNTS.value:
+        row = [
+            _MEASURE.value,
+            f'{size} members',
+            f'loss {_LOSS.value:g}',
+            f'seed {_SEED.value}',
+            *measure(int(size)),
+        ]
+        sys.stdout.write(f'{tabulate([row], tablefmt="plain")}\n')
+        sys.stdout.flush()
+
+
+if __name__ == '__main__':
+    app.run(_run)
