--- a/cumindrift/code.py
+++ b/cumindrift/code.py
@@ -60,6 +60,7 @@
     SETTINGS_FILE = 600, 'The settings file cannot be used.'
     PORT_IN_USE = 601, 'An address of this process is taken or not its own.'
     RESTARTS_EXHAUSTED = 602, 'A child failed too often; the process stopped.'
+    SUPERSEDED = 603, 'A later process of the same name is a member.'
 
     PACKET_MALFORMED = 700, 'A packet from the fabric cannot be parsed.'
     PACKET_NO_SERVICE = 701, 'No service stands behind the address.'
--- a/cumindrift/membership/receive.py
+++ b/cumindrift/membership/receive.py
@@ -41,7 +41,7 @@
 Handle = Callable[['MembershipCore', Any, float], list[SendMessage]]
 
 # Who differs from a peer in at most this many buckets has joined.
-JOINED_BUCKETS_MAX = 4
+JOINED_BUCKETS_MAX = 1
 
 receivers: Registry[Handle] = Registry('membership message')
 
--- a/cumindrift/metric.py
+++ b/cumindrift/metric.py
@@ -21,6 +21,14 @@
     'cumindrift_other_key_datagrams',
     'Peer datagrams that another key than the first opened.',
 )
+MEMBERS = Gauge(
+    'cumindrift_members',
+    'Members in the view of this process.',
+)
+MEMBERS_HELD = Gauge(
+    'cumindrift_members_held',
+    'Silent members that stay in the view while removal is frozen.',
+)
 VIOLATIONS = Counter(
     'cumindrift_invariant_violations',
     'Invariants found violated; any count is a fault of the program.',
--- a/features/builders/member.py
+++ b/features/builders/member.py
@@ -7,6 +7,7 @@
 from cumindrift.membership.gossip import MembershipCore
 from cumindrift.membership.member import Member, MemberState
 from cumindrift.membership.message import Gossip, News, Ping, Sender
+from cumindrift.membership.view import View
 from lab.member_cluster import MemberCluster, make_member
 from lab.network import VirtualNetwork
 
@@ -20,14 +21,41 @@
     return cluster
 
 
-def fresh_cluster(count: int, seed: int) -> MemberCluster:
+def fresh_cluster(
+    count: int,
+    seed: int,
+    *,
+    is_encoded: bool = False,
+) -> MemberCluster:
     """Returns a cluster whose members know the seeds only."""
-    cluster = MemberCluster(VirtualNetwork(Random(seed)))
+    cluster = MemberCluster(VirtualNetwork(Random(seed)), is_encoded)
     for number in range(count):
         cluster.start(number)
     return cluster
 
 
+def view_changes(count: int, seed: int) -> list[tuple[dict, frozenset]]:
+    """Returns random changes of members, with the data centres out."""
+    random = Random(seed)
+    changes = []
+    for _ in range(count):
+        number = random.randrange(60)
+        state = random.choice(list(MemberState))
+        member = evolve(make_member(number), state=state)
+        gone = None if member.is_gone else member
+        out = frozenset(('dc-1',)) if random.random() < 0.3 else frozenset()
+        changes.append(({member.member_id: gone}, out))
+    return changes
+
+
+def answers_of(view: View) -> list[tuple]:
+    """Returns all that a view answers, in a form that can be compared."""
+    names = sorted(view.services, key=str)
+    return [
+        (name, view.targets(name), view.service_version(name)) for name in names
+    ]
+
+
 def lone_core() -> MembershipCore:
     """Returns the core of member 0, which knows member 1."""
     core = MembershipCore(make_member(0), (), Random(1), lambda _view: None)
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -79,6 +79,19 @@
     Then every member sees 40 members
     And no member is marked anywhere
 
+  Scenario: A view reached by changes equals one built at once
+    Given 400 random changes of members and data centres out, seed 12
+    When each change makes the next view
+    Then every view answers like one built at once
+    And former views still answer as they did
+
+  Scenario: A mass restart stays within bounds
+    Given the members 0 to 59 start with seeds only, encoded, seed 13
+    When 25 seconds of gossip pass
+    Then every member sees 60 members
+    And no datagram was larger than 1400 bytes
+    And no news is passed on any more
+
   Scenario Outline: Records merged from the roster
     Given a lone core that knows member 1
     When the roster brings <record>, twice
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -6,14 +6,17 @@
 from cumindrift.address import Endpoint
 from cumindrift.membership.member import MemberState
 from cumindrift.membership.message import Ack, Digest, Sender
+from cumindrift.membership.view import View
 from cumindrift.metric import DROPS
 from features.builders.member import (
+    answers_of,
     fresh_cluster,
     gossip_of,
     joined_cluster,
     lone_core,
     ping_to,
     record_like,
+    view_changes,
 )
 from lab.member_cluster import make_member
 
@@ -175,6 +178,57 @@
         assert not core.view.suspects, core.view.suspects
 
 
+@given(
+    '{count:d} random changes of members and data centres out, seed {seed:d}'
+)
+def step_changes(context, count, seed):
+    context.changes = view_changes(count, seed)
+
+
+@when('each change makes the next view')
+def step_views(context):
+    context.pairs = []
+    view = View()
+    members = {}
+    for changes, out in context.changes:
+        view = view.successor(changes, out, frozenset())
+        members.update(changes)
+        whole = View([one for one in members.values() if one], out)
+        context.pairs.append((view, answers_of(view), whole))
+
+
+@then('every view answers like one built at once')
+def step_views_equal(context):
+    for view, answers, whole in context.pairs:
+        assert dict(view.members) == dict(whole.members)
+        assert len(view.members) == len(whole.members)
+        assert answers == answers_of(whole)
+
+
+@then('former views still answer as they did')
+def step_views_unchanged(context):
+    for view, answers, _ in context.pairs:
+        assert answers_of(view) == answers
+
+
+@given(
+    'the members 0 to {last:d} start with seeds only, encoded, seed {seed:d}'
+)
+def step_fresh_encoded(context, last, seed):
+    context.cluster = fresh_cluster(last + 1, seed, is_encoded=True)
+
+
+@then('no datagram was larger than {size:d} bytes')
+def step_size(context, size):
+    assert 0 < context.cluster.meter.largest_bytes <= size
+
+
+@then('no news is passed on any more')
+def step_bounded(context):
+    for core in context.cluster.running():
+        assert not core.beliefs.rumours, len(core.beliefs.rumours)
+
+
 @given('a lone core that knows member 1')
 def step_lone(context):
     context.core = lone_core()
--- a/lab/member_cluster.py
+++ b/lab/member_cluster.py
@@ -2,6 +2,7 @@
 
 from random import Random
 from time import thread_time_ns
+from typing import Any
 
 from attrs import define, field
 
@@ -136,10 +137,19 @@
         """Sends what a core asked for."""
         sender = core.me.endpoint
         for action in actions:
-            message = action.message
-            if self.is_encoded:
-                message = self._encode(message)
-            self.network.send(sender, action.endpoint, message)
+            self.send(sender, action.endpoint, action.message)
+
+    def send(self, sender: Endpoint, peer: Endpoint, message: Any) -> None:
+        """Sends one message."""
+        if self.is_encoded:
+            message = self._encode(message)
+        self.network.send(sender, peer, message)
+
+    def decode(self, message: Any) -> Any:
+        """Returns what arrived as a message."""
+        if not isinstance(message, bytes):
+            return message
+        return decode_frame(self._keyring.open(message) or b'')
 
     def _encode(self, message: object) -> bytes:
         datagram = self._keyring.seal(encode_frame(membership, message))
@@ -161,9 +171,7 @@
         if number in self.stopped or self.cores.get(number) is not core:
             return
         start_ns = thread_time_ns()
-        if isinstance(message, bytes):
-            message = decode_frame(self._keyring.open(message) or b'')
-        self.put(core, core.receive(message, now_s))
+        self.put(core, core.receive(self.decode(message), now_s))
         self.meter.cpu_ns += thread_time_ns() - start_ns
 
     def _tick(self, number: int, core: MembershipCore) -> None:
