--- a/cumindrift/code.py
+++ b/cumindrift/code.py
@@ -72,6 +72,7 @@
     SETTINGS_FILE = 600, 'The settings file cannot be used.'
     PORT_IN_USE = 601, 'An address of this process is taken or not its own.'
     RESTARTS_EXHAUSTED = 602, 'A child failed too often; the process stopped.'
+    SUPERSEDED = 603, 'A later process of the same name is a member.'
 
     PACKET_MALFORMED = 700, 'A packet from the fabric cannot be parsed.'
     PACKET_NO_SERVICE = 701, 'No service stands behind the address.'
@@ -84,3 +85,5 @@
     SEARCH_UNSURE = 708, 'A search ended while views or an agent were fresh.'
     OPEN_PENDING = 709, 'A repeated open while the first is being placed.'
     SNAPSHOT_CORRUPT = 710, 'A snapshot has a wrong digest or content.'
+    MESSAGE_STALE = 711, 'A peer message is of an old incarnation or probe.'
+    MESSAGE_MISDIRECTED = 712, 'A peer message was meant for another process.'
