Randomised runs of finding, placement table, orderly leaving

Cause: nothing showed whether a flow survives uneven views and changes; an agent stopped without draining.

--- a/cumindrift/schema/traffic.capnp
+++ b/cumindrift/schema/traffic.capnp
@@ -64,6 +64,7 @@
   partCount @3 :UInt32;
   flowKeys @4 :List(Data);
   ledger @5 :Data;
+  isClosing @6 :Bool;
 }
 
 struct HandoverAck {
--- a/cumindrift/traffic/agent.py
+++ b/cumindrift/traffic/agent.py
@@ -7,6 +7,7 @@
 
 from cumindrift.address import Endpoint
 from cumindrift.context import Context
+from cumindrift.membership.member import MemberState
 from cumindrift.membership.view import ServiceName, View
 from cumindrift.metric import DROPS, FLOWS_HELD, HOPS
 from cumindrift.registry import Registry
@@ -27,6 +28,7 @@
 from cumindrift.traffic.finder import FlowFinder
 from cumindrift.traffic.frame import STEERED_FAMILY
 from cumindrift.traffic.front import FrontEnd, RequestsFront, fronts
+from cumindrift.traffic.leaving import AgentLeaving
 from cumindrift.traffic.message import (
     HandoverAck,
     HandoverAsk,
@@ -238,6 +240,24 @@
     DROPS.labels(action.code.name).inc()
 
 
+def make_leaving(core: AgentCore) -> AgentLeaving:
+    """Returns the stop step of an agent."""
+    context = core.context
+
+    def export() -> bytes:
+        return core.export_ledger()
+
+    def announce(state: MemberState) -> None:
+        context.send_all(context.membership.change_state(state))
+
+    return AgentLeaving(
+        core.finder,
+        context.settings.stop_within_s,
+        export,
+        announce,
+    )
+
+
 @roles.register('agent')
 def prepare_agent(context: Context) -> Callable[[], Supervisor]:
     """Builds the agent's core once; returns the supervisor's builder."""
@@ -247,6 +267,7 @@
     core = AgentCore(context, target)
     context.view_listeners.append(core.on_view)
     context.snapshot_listeners.append(core.on_snapshot)
+    context.stop_steps.append(make_leaving(core).step)
     context.receivers[traffic.number] = core.on_message
     context.receivers[STEERED_FAMILY] = core.on_message
 
--- a/cumindrift/traffic/finder.py
+++ b/cumindrift/traffic/finder.py
@@ -156,6 +156,7 @@
             self.table.held.clear()
             self.opener.forget_all()
             self.book.forget_all()
+            self.handover.give_up()
         if view.data_centres_out != before:
             self.book.drop_records_out()
         if has_changed or self.point.is_draining() != was_draining:
@@ -248,14 +249,25 @@
         record = self.table.records.get(route.flow_key)
         if record is None or record.holder == self.me:
             return self._next(steered, now_s)
-        if self.point.is_member_out(record.holder):
+        return self._follow(record.holder, steered, now_s)
+
+    def _follow(
+        self,
+        holder: Candidate,
+        steered: Steered,
+        now_s: float,
+    ) -> list[Action]:
+        is_open = steered.kind is PacketKind.OPEN
+        if is_open and self.point.has_left(holder):
+            return self._next(steered, now_s)
+        if self.point.is_member_out(holder):
             # It may be back in by a view that has not come here yet.
             return self._next(evolve(steered, is_unsure=True), now_s)
-        return [self._onward(record.holder, evolve(steered, by_record=True))]
+        return [self._onward(holder, evolve(steered, by_record=True))]
 
     def _restart(self, steered: Steered, now_s: float) -> list[Action]:
         home = steered.route.candidates[0]
-        if self.point.is_member_out(home):
+        if not self.point.may_ask(home):
             return self._next(steered, now_s)
         return [self._onward(home, steered)]
 
@@ -267,7 +279,7 @@
         candidates = steered.route.candidates
         while position < len(candidates):
             following = candidates[position]
-            if following != self.me and not self.point.is_member_out(following):
+            if self.point.may_ask(following):
                 onward = evolve(steered, position=position)
                 return [self._onward(following, onward)]
             position += 1
--- a/cumindrift/traffic/flow.py
+++ b/cumindrift/traffic/flow.py
@@ -38,8 +38,9 @@
     holder: Candidate
     incarnation: int
     sequence: int
-    told_s: float
     opened_s: float
+    # Since when its holder may be gone, or this agent no keeper; or 0.
+    doubted_s: float = 0.0
     # Whether its next keepers were told, by an agent that is leaving.
     is_handed_on: bool = False
 
--- a/cumindrift/traffic/handover.py
+++ b/cumindrift/traffic/handover.py
@@ -1,7 +1,5 @@
 """Planned restarts: flows and ledger left to members and taken back."""
 
-from collections.abc import Iterable
-
 from attrs import define, field
 
 from cumindrift.traffic.action import Action, SendMessage
@@ -136,7 +134,7 @@
                 self._kept.pop(ask.owner.member_id)
             return []
         if left is None or not left.is_whole():
-            none = HandoverPart(self.point.me, 0, 0, 0, (), b'')
+            none = HandoverPart(self.point.me, 0, 0, 0, (), False, b'')
             return [SendMessage(ask.owner.endpoint(), none)]
         last = ask.first_number + PARTS_PER_TICK
         return [
@@ -168,6 +166,10 @@
         self._take_back(returned, now_s)
         return True
 
+    def give_up(self) -> None:
+        """Wants nothing back: the data centre was taken out."""
+        self._is_recovered = True
+
     def take_ledger(self) -> bytes:
         """Returns the ledger that came back, once."""
         ledger = self.ledger
@@ -226,18 +228,25 @@
         self.ledger = b''.join(part.ledger for part in ordered)
         for part in ordered:
             for flow_key in part.flow_keys:
-                self.table.held.setdefault(flow_key, Flow(now_s, now_s))
+                flow = Flow(now_s, now_s, part.is_closing)
+                self.table.held.setdefault(flow_key, flow)
                 self.table.records.pop(flow_key, None)
 
     def _cut(self, ledger: bytes) -> list[HandoverPart]:
-        keys = list(self.table.held)
-        contents: list[tuple[tuple[bytes, ...], bytes]] = [
-            (tuple(keys[start : start + KEYS_PER_PART]), b'')
-            for start in _starts(len(keys), KEYS_PER_PART)
-        ]
+        contents: list[tuple[tuple[bytes, ...], bool, bytes]] = []
+        for is_closing in (False, True):
+            keys = [
+                key
+                for key, flow in self.table.held.items()
+                if flow.is_closing is is_closing
+            ]
+            contents += [
+                (tuple(keys[start : start + KEYS_PER_PART]), is_closing, b'')
+                for start in range(0, len(keys), KEYS_PER_PART)
+            ]
         contents += [
-            ((), ledger[start : start + LEDGER_BYTES_PER_PART])
-            for start in _starts(len(ledger), LEDGER_BYTES_PER_PART)
+            ((), False, ledger[start : start + LEDGER_BYTES_PER_PART])
+            for start in range(0, len(ledger), LEDGER_BYTES_PER_PART)
         ]
         return [
             HandoverPart(
@@ -249,7 +258,3 @@
             )
             for number, content in enumerate(contents)
         ]
-
-
-def _starts(size: int, step: int) -> Iterable[int]:
-    return range(0, size, step)
--- /dev/null
+++ b/cumindrift/traffic/leaving.py
@@ -0,0 +1,73 @@
+"""Leaving in order: what an agent does between SIGTERM and its end."""
+
+from collections.abc import Callable
+from enum import Enum, unique
+
+from attrs import define
+
+from cumindrift.membership.member import MemberState
+from cumindrift.traffic.finder import FlowFinder
+
+DRAIN_SHARE = 0.5
+LINGER_S = 1.0
+
+
+@unique
+class LeavingPhase(Enum):
+    """How far an agent has come; it only moves down this list."""
+
+    SERVING = 'serving'
+    DRAINING = 'draining'
+    HANDING_OVER = 'handing over'
+    LINGERING = 'lingering'
+
+
+@define(slots=True)
+class AgentLeaving:
+    """Drains an agent, hands over what is left, then announces its end.
+
+    Used by the daemon as a stop step. An agent without flows leaves once
+    its records are handed on. One that still holds flows at DRAIN_SHARE of
+    the stop's time leaves them to its next incarnation. After its end is
+    announced it goes on finding flows for those who do not know it yet.
+    """
+
+    finder: FlowFinder
+    stop_within_s: float
+    export_ledger: Callable[[], bytes]
+    announce: Callable[[MemberState], None]
+    phase: LeavingPhase = LeavingPhase.SERVING
+    _since_s: float = 0.0
+
+    def step(self, now_s: float) -> bool:
+        """Goes on with leaving; True when the process may end."""
+        if self.phase is LeavingPhase.SERVING:
+            self._enter(LeavingPhase.DRAINING, now_s)
+            self.announce(MemberState.DRAINING)
+        elif self.phase is LeavingPhase.DRAINING:
+            self._drain(now_s)
+        elif self._has_handed_over():
+            self._leave(now_s)
+        return (
+            self.phase is LeavingPhase.LINGERING
+            and now_s - self._since_s >= LINGER_S
+        )
+
+    def _has_handed_over(self) -> bool:
+        is_waiting = self.phase is LeavingPhase.HANDING_OVER
+        return is_waiting and self.finder.handover.is_over()
+
+    def _drain(self, now_s: float) -> None:
+        if self.finder.may_leave():
+            self._leave(now_s)
+        elif now_s - self._since_s >= DRAIN_SHARE * self.stop_within_s:
+            self.finder.handover.start(self.export_ledger())
+            self._enter(LeavingPhase.HANDING_OVER, now_s)
+
+    def _leave(self, now_s: float) -> None:
+        self._enter(LeavingPhase.LINGERING, now_s)
+        self.announce(MemberState.LEFT)
+
+    def _enter(self, phase: LeavingPhase, now_s: float) -> None:
+        self.phase = phase
+        self._since_s = now_s
--- a/cumindrift/traffic/message.py
+++ b/cumindrift/traffic/message.py
@@ -138,6 +138,7 @@
     number: int
     part_count: int
     flow_keys: tuple[bytes, ...]
+    is_closing: bool
     ledger: bytes
 
 
--- a/cumindrift/traffic/opening.py
+++ b/cumindrift/traffic/opening.py
@@ -30,6 +30,7 @@
 
 OPEN_HOP_LIMIT = 24
 PENDING_OPEN_S = 0.5
+REPEATED_OPEN_S = 3.0
 PENDING_OPENS_MAX = 4096
 CONFIRM_WITHIN_S = 0.4
 
@@ -62,23 +63,18 @@
 
     def on_open(self, search: OpenSearch, now_s: float) -> list[Action]:
         """Takes a flow that no agent holds, or passes its open along."""
-        if self._is_duplicate(search, now_s):
-            return [Drop(ResultCode.OPEN_PENDING)]
-        report = self._report()
         if search.assigned:
-            return self._take_assigned(search, report, now_s)
-        reports = (*search.reports, report)
-        left = len(search.route.candidates) - search.position - 1
-        decision = self.policy(reports, left, self.random)
-        grown = evolve(search, reports=reports)
-        if decision.choice is Choice.TAKE:
-            return self._take(grown, now_s)
-        if decision.choice is Choice.REFUSE:
-            return [Refuse(search.packet, ResultCode.NO_ROOM)]
-        if decision.choice is Choice.PASS:
-            following = search.route.candidates[search.position + 1]
-            return [self._pass_on(grown, following)]
-        return [self._assign(grown, decision.member_id)]
+            return self._take_assigned(search, now_s)
+        if search.position:
+            return self._place(search, now_s)
+        asked_s = self._pending.get(search.route.flow_key)
+        if asked_s is not None and now_s - asked_s < PENDING_OPEN_S:
+            return [Drop(ResultCode.OPEN_PENDING)]
+        self._note_pending(search.route.flow_key, now_s)
+        if asked_s is not None and self._report().can_take:
+            # Asked before in vain: some agent on the way may be dead.
+            return self._take(search, now_s)
+        return self._place(search, now_s)
 
     def on_confirmed(self, flow_key: bytes) -> list[Action]:
         """Delivers the opening packet when all keepers have the record."""
@@ -104,9 +100,10 @@
 
     def tick(self, now_s: float) -> list[Action]:
         """Delivers what waited too long for a keeper that is not there."""
-        for key, until_s in list(self._pending.items()):
-            if until_s < now_s:
-                self._pending.pop(key)
+        for key, asked_s in list(self._pending.items()):
+            if now_s - asked_s < REPEATED_OPEN_S:
+                break
+            self._pending.pop(key)
         late = [
             key
             for key, awaited in self._awaited.items()
@@ -120,24 +117,32 @@
             return evolve(report, can_take=False)
         return report
 
-    def _is_duplicate(self, search: OpenSearch, now_s: float) -> bool:
-        if search.position or search.assigned:
-            return False
-        flow_key = search.route.flow_key
-        if self._pending.get(flow_key, 0.0) >= now_s:
-            return True
+    def _note_pending(self, flow_key: bytes, now_s: float) -> None:
+        self._pending.pop(flow_key, None)
         if len(self._pending) >= PENDING_OPENS_MAX:
             self._pending.pop(next(iter(self._pending)))
-        self._pending[flow_key] = now_s + PENDING_OPEN_S
-        return False
+        self._pending[flow_key] = now_s
+
+    def _place(self, search: OpenSearch, now_s: float) -> list[Action]:
+        reports = (*search.reports, self._report())
+        left = len(search.route.candidates) - search.position - 1
+        decision = self.policy(reports, left, self.random)
+        grown = evolve(search, reports=reports)
+        if decision.choice is Choice.TAKE:
+            return self._take(grown, now_s)
+        if decision.choice is Choice.REFUSE:
+            return [Refuse(search.packet, ResultCode.NO_ROOM)]
+        if decision.choice is Choice.PASS:
+            following = search.route.candidates[search.position + 1]
+            return [self._pass_on(grown, following)]
+        return [self._assign(grown, decision.member_id)]
 
     def _take_assigned(
         self,
         search: OpenSearch,
-        report: LoadReport,
         now_s: float,
     ) -> list[Action]:
-        if report.can_take:
+        if self._report().can_take:
             return self._take(search, now_s)
         # Filled up since it reported: the next lightest is asked.
         others = tuple(
@@ -182,7 +187,7 @@
                 *route.candidates[:RECORD_KEEPERS],
                 *self.point.keepers(flow_key),
             )
-            if keeper != self.point.me and not self.point.is_gone(keeper)
+            if keeper != self.point.me and not self.point.has_left(keeper)
         }
         actions: list[Action] = [
             self.book.tell(keeper, flow_key, now_s)
--- a/cumindrift/traffic/record.py
+++ b/cumindrift/traffic/record.py
@@ -15,7 +15,7 @@
 SLICE_COUNT = 200
 SWEEP_PERIOD_S = 5.0
 RECORD_KEPT_S = 600.0
-RESTART_WITHIN_S = 60.0
+RESTART_WITHIN_S = 30.0
 # Flows opened closer together than this are told apart by member id.
 SAME_TIME_S = 0.05
 _MS_PER_S = 1000
@@ -96,7 +96,7 @@
         """Keeps a newer record and confirms it."""
         known = self.table.records.get(record.flow_key)
         if known is not None and known.holder != record.holder:
-            if record.held and not self.point.is_gone(known.holder):
+            if record.held and not self.point.has_left(known.holder):
                 # Two holders: the one known decides whether it still is.
                 query = evolve(record, teller=self.point.me)
                 return [SendMessage(known.holder.endpoint(), query)]
@@ -202,7 +202,7 @@
         is_newer = known is None or known.order() < order
         if record.held and is_newer:
             opened_s = now_s - record.age_ms / _MS_PER_S
-            kept = Record(record.holder, *order, now_s, opened_s)
+            kept = Record(record.holder, *order, opened_s)
             return self.table.keep(record.flow_key, kept)
         if is_newer:
             self.table.records.pop(record.flow_key, None)
@@ -249,16 +249,17 @@
         record: Record,
         now_s: float,
     ) -> bool:
-        kept_s = now_s - record.told_s
-        if kept_s < RESTART_WITHIN_S:
-            return False
         member = self.point.view.members.get(record.holder.member_id)
-        if member is None:
-            return self.point.is_gone(record.holder)
-        if member.incarnation > record.incarnation:
-            return True
         ranked = self.point.candidates(flow_key)[:RECORD_KEEPERS]
-        return kept_s > RECORD_KEPT_S and self.point.me not in ranked
+        if member is None or member.incarnation > record.incarnation:
+            kept_s = RESTART_WITHIN_S
+        elif self.point.me in ranked:
+            record.doubted_s = 0.0
+            return False
+        else:
+            kept_s = RECORD_KEPT_S
+        record.doubted_s = record.doubted_s or now_s
+        return now_s - record.doubted_s > kept_s
 
     def _hand_on(self, now_s: float) -> list[Action]:
         """Tells those who keep a record once this agent has left."""
--- a/cumindrift/traffic/viewpoint.py
+++ b/cumindrift/traffic/viewpoint.py
@@ -109,10 +109,19 @@
         member = self.view.members.get(self.me.member_id)
         return member is None or member.state >= MemberState.DRAINING
 
-    def is_gone(self, candidate: Candidate) -> bool:
-        """Tells whether a member is in neither this view nor a former one."""
+    def has_left(self, candidate: Candidate) -> bool:
+        """Tells whether a member was in a former view and no longer is."""
         if candidate.member_id in self.view.members:
             return False
-        return not any(
+        return any(
             candidate.member_id in view.members for view, _ in self._former
         )
+
+    def may_ask(self, candidate: Candidate) -> bool:
+        """Tells whether a search may go to a candidate.
+
+        One that no known view has is asked: it joined lately.
+        """
+        if candidate == self.me or self.has_left(candidate):
+            return False
+        return not self.is_member_out(candidate)
--- /dev/null
+++ b/lab/flowworld.py
@@ -0,0 +1,363 @@
+"""A world of real balancer and agent cores for randomised runs."""
+
+from collections import Counter
+from functools import partial
+from random import Random
+from typing import Any
+
+from attrs import define, evolve, field
+
+from cumindrift.address import Endpoint
+from cumindrift.code import ResultCode
+from cumindrift.invariant import require
+from cumindrift.membership.member import Member, MemberState
+from cumindrift.membership.view import ServiceName, View
+from cumindrift.outcome import Dropped
+from cumindrift.registry import Registry
+from cumindrift.settings.tree import Service, Snapshot, Team, Tree
+from cumindrift.traffic.action import (
+    Action,
+    Deliver,
+    Drop,
+    Refuse,
+    SendMessage,
+    SendSteered,
+)
+from cumindrift.traffic.candidates import candidate_of
+from cumindrift.traffic.finder import FlowFinder
+from cumindrift.traffic.message import (
+    FlowHint,
+    HandoverAck,
+    HandoverAsk,
+    HandoverPart,
+    HolderRecord,
+    LoadReport,
+    OpenSearch,
+    PacketKind,
+    RecordAck,
+    Steered,
+)
+from cumindrift.traffic.placement import policies
+from cumindrift.traffic.steering import BalancerCore, OpenAt, steered_of
+from lab.network import VirtualNetwork
+
+TEAM = 'todistajat'
+DATA_CENTRES = ('hel-a', 'esp-b', 'van-c')
+SERVICES = {
+    'kaynti': Service('10.20.0.1', 700, 'tcp', 'packets'),
+    'asiakirja': Service('10.20.0.2', 700, 'udp', 'packets'),
+}
+TICK_S = 0.05
+VIEW_DELAY_S = 3.0
+CONNECTIONS_MAX = 400
+_PERMILLE = 1000
+_PEER_PORT = 7100
+
+
+@define(slots=True, eq=False)
+class LabAgent:
+    """An agent's finder on the virtual network."""
+
+    member: Member
+    finder: FlowFinder
+    view_number: int = 0
+    # Plain rendezvous: what is not held here is refused.
+    is_plain: bool = False
+
+    @property
+    def endpoint(self) -> Endpoint:
+        """Returns the agent's peer address."""
+        return self.member.endpoint
+
+    def take(self, message: Any, now_s: float) -> list[Action]:
+        """Hands a message to the finder."""
+        held = self.finder.table.held
+        is_packet = self.is_plain and isinstance(message, Steered)
+        if is_packet and message.route.flow_key not in held:
+            return self._take_plain(message, now_s)
+        return takers.get(type(message).__name__)(self.finder, message, now_s)
+
+    def _take_plain(self, steered: Steered, now_s: float) -> list[Action]:
+        if steered.kind is not PacketKind.WITHIN_OR_OPEN:
+            return [Refuse(steered.packet, ResultCode.NO_SUCH_FLOW)]
+        search = OpenSearch(
+            steered.route,
+            0,
+            0,
+            assigned=False,
+            reports=(),
+            packet=steered.packet,
+            searched=True,
+        )
+        return self.finder.on_open(search, now_s)
+
+
+takers: Registry[Any] = Registry('message of a run')
+takers.register(Steered.__name__)(FlowFinder.on_steered)
+takers.register(OpenSearch.__name__)(FlowFinder.on_open)
+takers.register(HolderRecord.__name__)(FlowFinder.on_record)
+takers.register(HandoverPart.__name__)(FlowFinder.on_part)
+
+
+@takers.register(RecordAck.__name__)
+def _take_ack(finder: FlowFinder, ack: RecordAck, _now_s: float) -> Any:
+    return finder.on_ack(ack)
+
+
+@takers.register(HandoverAck.__name__)
+def _take_part_ack(finder: FlowFinder, ack: Any, _now_s: float) -> Any:
+    finder.handover.on_ack(ack)
+    return []
+
+
+@takers.register(HandoverAsk.__name__)
+def _take_ask(finder: FlowFinder, ask: HandoverAsk, _now_s: float) -> Any:
+    return finder.handover.on_ask(ask)
+
+
+@define(slots=True, eq=False)
+class LabBalancer:
+    """A balancer's core on the virtual network."""
+
+    member: Member
+    core: BalancerCore
+    view_number: int = 0
+
+
+@define(slots=True, eq=False)
+class FlowWorld:
+    """Members, their uneven views, and what becomes of each packet.
+
+    Used by the randomised run and by features. `on_delivered`,
+    `on_refused` and `on_dropped` are the run's.
+    """
+
+    random: Random
+    network: VirtualNetwork
+    policy: str = 'lightest'
+    has_records: bool = True
+    is_plain: bool = False
+    members: dict[str, Member] = field(factory=dict)
+    centres_out: frozenset[str] = frozenset()
+    out_since_s: dict[str, float] = field(factory=dict)
+    views: list[View] = field(factory=lambda: [View()])
+    agents: dict[str, LabAgent] = field(factory=dict)
+    balancers: list[LabBalancer] = field(factory=list)
+    counts: Counter[str] = field(factory=Counter)
+    on_delivered: Any = None
+    on_refused: Any = None
+    on_dropped: Any = None
+    _member_count: int = 0
+
+    def add_agent(self, service: str, centre: str) -> str:
+        """Adds a new target with its agent; returns its name."""
+        name = f'{service}-{centre}-{self._member_count}'
+        self.start_agent(self._make_member(name, 'agent', centre, service))
+        return name
+
+    def start_agent(self, member: Member) -> None:
+        """Starts an incarnation of an agent and announces it."""
+
+        def probe(flow_count: int) -> LoadReport:
+            load = flow_count * _PERMILLE // CONNECTIONS_MAX
+            can_take = flow_count < CONNECTIONS_MAX
+            return LoadReport(member.member_id, flow_count, load, can_take)
+
+        finder = FlowFinder(
+            candidate_of(member),
+            ServiceName(member.team, member.service),
+            policies.get(self.policy),
+            probe,
+            member.incarnation,
+        )
+        finder.opener.random = self.random
+        agent = LabAgent(member, finder, is_plain=self.is_plain)
+        self.agents[member.name] = agent
+        self.network.receivers[member.endpoint] = lambda message, now_s: (
+            self._to_agent(agent, message, now_s)
+        )
+        self._tick(agent)
+        self.members[member.name] = member
+        self.publish()
+
+    def stop_agent(self, name: str) -> LabAgent:
+        """Ends an agent's process; nobody is told."""
+        agent = self.agents.pop(name)
+        self.network.receivers.pop(agent.endpoint)
+        return agent
+
+    def add_balancer(self) -> None:
+        """Adds a balancer that knows the newest view."""
+        name = f'balancer-{self._member_count}'
+        member = self._make_member(name, 'balancer', DATA_CENTRES[0], '')
+        core = BalancerCore(candidate_of(member))
+        core.on_settings(Snapshot(1, Tree(teams={TEAM: Team(SERVICES)})))
+        balancer = LabBalancer(member, core)
+        self.balancers.append(balancer)
+        self.network.receivers[member.endpoint] = lambda message, _now_s: (
+            self._to_balancer(balancer, message)
+        )
+        self._advance(balancer, len(self.views) - 1)
+
+    def change_state(self, name: str, state: MemberState) -> None:
+        """Announces a member's state; the member itself knows at once."""
+        member = evolve(self.members[name], state=state)
+        self.members[name] = member
+        if state >= MemberState.LEFT:
+            self.members.pop(name)
+        self.publish()
+
+    def set_centre(self, centre: str, *, is_out: bool) -> None:
+        """Takes a data centre out, or back in."""
+        if is_out:
+            self.centres_out |= {centre}
+            self.out_since_s[centre] = self.network.now_s
+        else:
+            self.centres_out -= {centre}
+            self.out_since_s.pop(centre)
+        self.publish()
+
+    def publish(self) -> None:
+        """Makes a view; each process takes it when it comes to it."""
+        former = set(self.views[-1].members)
+        self.views.append(View(self.members.values(), self.centres_out))
+        number = len(self.views) - 1
+        changed = {
+            name
+            for name, member in self.members.items()
+            if member.member_id not in former
+            or member is not self.views[-2].members[member.member_id]
+        }
+        for process in (*self.agents.values(), *self.balancers):
+            is_own = process.member.name in changed
+            delay_s = 0 if is_own else self.random.random() * VIEW_DELAY_S
+            self.network.at(
+                self.network.now_s + delay_s,
+                partial(self._advance, process, number),
+            )
+
+    def send_packet(self, balancer: LabBalancer, packet: bytes) -> bool:
+        """Gives a packet to a balancer; False when it drops it."""
+        decision = balancer.core.steer(packet)
+        if isinstance(decision, Dropped):
+            self.counts[f'balancer drop {decision.code.name}'] += 1
+            return False
+        if isinstance(decision, OpenAt):
+            endpoint = decision.endpoint
+            message: Any = decision.search
+        else:
+            endpoint = Endpoint(*decision.entry.pair)
+            message = steered_of(decision, packet)
+        self.check_not_out(endpoint, 'balancer steers to what is out')
+        self.network.send(balancer.member.endpoint, endpoint, message)
+        return True
+
+    def perform(self, agent: LabAgent, actions: list[Action]) -> None:
+        """Carries out an agent's actions."""
+        for action in actions:
+            performers.get(type(action).__name__)(self, agent, action)
+
+    def send(self, agent: LabAgent, peer: Endpoint, message: Any) -> None:
+        """Sends an agent's message, unless records are to be lost."""
+        if isinstance(message, HolderRecord) and not self.has_records:
+            return
+        self.network.send(agent.endpoint, peer, message)
+
+    def _make_member(
+        self,
+        name: str,
+        role: str,
+        centre: str,
+        service: str,
+    ) -> Member:
+        self._member_count += 1
+        number = self._member_count
+        ip = f'127.1.{number // 250}.{number % 250 + 1}'
+        return Member(
+            name,
+            role,
+            'fi-south',
+            centre,
+            Endpoint(ip, _PEER_PORT),
+            incarnation=1,
+            team=TEAM if service else '',
+            service=service,
+        )
+
+    def _advance(self, process: LabAgent | LabBalancer, number: int) -> None:
+        if process.view_number >= number:
+            return
+        process.view_number = number
+        view = self.views[number]
+        if isinstance(process, LabBalancer):
+            process.core.on_view(view)
+        elif process is self.agents.get(process.member.name):
+            now_s = self.network.now_s
+            self.perform(process, process.finder.on_view(view, now_s))
+
+    def _tick(self, agent: LabAgent) -> None:
+        if self.agents.get(agent.member.name) is not agent:
+            return
+        now_s = self.network.now_s
+        self.perform(agent, agent.finder.tick(now_s))
+        self.network.at(now_s + TICK_S, lambda: self._tick(agent))
+
+    def _to_agent(self, agent: LabAgent, message: Any, now_s: float) -> None:
+        if isinstance(message, Steered):
+            self.counts['agent packets'] += 1
+        self.perform(agent, agent.take(message, now_s))
+
+    def _to_balancer(self, balancer: LabBalancer, hint: FlowHint) -> None:
+        if not self.is_plain:
+            balancer.core.on_hint(hint)
+
+    def check_not_out(self, endpoint: Endpoint, what: str) -> None:
+        """Requires that nothing goes to what was out for long enough."""
+        since_s = min(self.out_since_s.values(), default=None)
+        if since_s is None or self.network.now_s - since_s <= VIEW_DELAY_S:
+            return
+        for agent in self.agents.values():
+            if agent.endpoint == endpoint:
+                require(
+                    agent.member.data_centre not in self.centres_out,
+                    what,
+                    agent=agent.member.name,
+                )
+
+
+performers: Registry[Any] = Registry('performer of a run')
+
+
+@performers.register('SendSteered')
+def _send_steered(
+    world: FlowWorld,
+    agent: LabAgent,
+    action: SendSteered,
+) -> None:
+    world.send(agent, action.endpoint, action.steered)
+
+
+@performers.register('SendMessage')
+def _send_message(
+    world: FlowWorld,
+    agent: LabAgent,
+    action: SendMessage,
+) -> None:
+    world.send(agent, action.endpoint, action.message)
+
+
+@performers.register('Deliver')
+def _deliver(world: FlowWorld, agent: LabAgent, action: Deliver) -> None:
+    world.check_not_out(agent.endpoint, 'delivered while out')
+    world.on_delivered(agent, action)
+
+
+@performers.register('Refuse')
+def _refuse(world: FlowWorld, _agent: LabAgent, action: Refuse) -> None:
+    world.on_refused(action)
+
+
+@performers.register('Drop')
+def _drop(world: FlowWorld, _agent: LabAgent, action: Drop) -> None:
+    world.counts[f'drop {action.code.name}'] += 1
+    world.on_dropped(action)
