--- a/cumindrift/traffic/opening.py
+++ b/cumindrift/traffic/opening.py
@@ -89,6 +89,11 @@
         """Tells whether a flow's opening packet is yet to be delivered."""
         return flow_key in self._awaited
 
+    @property
+    def pending_count(self) -> int:
+        """Returns how many opens are being placed by others."""
+        return len(self._pending)
+
     def forget(self, flow_key: bytes) -> None:
         """Drops an opening packet whose flow is held elsewhere."""
         self._awaited.pop(flow_key, None)
--- /dev/null
+++ b/features/builders/flow.py
@@ -0,0 +1,250 @@
+"""Builds agents of one service that pass messages among themselves."""
+
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from attrs import define, evolve, field
+
+from cumindrift.address import Endpoint
+from cumindrift.membership.member import Member, MemberState
+from cumindrift.membership.view import ServiceName, View
+from cumindrift.traffic.action import (
+    Action,
+    Deliver,
+    Drop,
+    Refuse,
+    SendMessage,
+    SendSteered,
+)
+from cumindrift.traffic.candidates import candidate_of, candidates_in
+from cumindrift.traffic.finder import FlowFinder
+from cumindrift.traffic.message import (
+    FlowHint,
+    FlowRoute,
+    HandoverAck,
+    HandoverAsk,
+    HandoverPart,
+    HolderRecord,
+    LoadReport,
+    OpenSearch,
+    PacketKind,
+    RecordAck,
+    Steered,
+)
+from cumindrift.traffic.placement import policies
+
+NAME = ServiceName('todistajat', 'kaynti')
+CENTRES = ('hel-a', 'esp-b', 'van-c')
+CAPACITY = 5000
+TICK_S = 0.05
+
+
+def member(name: str, centre: str = '', service: str = 'kaynti') -> Member:
+    """Returns an agent; its data centre goes by its name's last letter."""
+    number = ord(name[-1])
+    return Member(
+        name,
+        'agent',
+        'fi-south',
+        centre or CENTRES[number % len(CENTRES)],
+        Endpoint(f'127.9.0.{number}', 7100),
+        1,
+        team=NAME.team,
+        service=service,
+    )
+
+
+def key_of(number: int) -> bytes:
+    """Returns a flow key."""
+    return b'flow' + number.to_bytes(9)
+
+
+BALANCER = candidate_of(member('balancer-z', service=''))
+
+
+@define(slots=True, eq=False)
+class FlowBench:
+    """Finders that share a clock; `pump` carries messages until quiet."""
+
+    now_s: float = 100.0
+    members: dict[str, Member] = field(factory=dict)
+    finders: dict[str, FlowFinder] = field(factory=dict)
+    loads: dict[str, int] = field(factory=dict)
+    full: set[str] = field(factory=set)
+    delivered: list[tuple[str, bytes]] = field(factory=list)
+    refused: list[int] = field(factory=list)
+    dropped: list[int] = field(factory=list)
+    hints: list[FlowHint] = field(factory=list)
+    hop_counts: list[int] = field(factory=list)
+    sent_count: int = 0
+    # Tells whether a message is lost.
+    is_lost: Callable[[Any], bool] = lambda _message: False
+
+    def add(self, *names: str) -> None:
+        """Adds agents that all share the newest view."""
+        for name in names:
+            self.members[name] = member(name)
+        for name in names:
+            self.start(name)
+        self.spread()
+
+    def start(self, name: str) -> None:
+        """Starts an incarnation of an agent."""
+        one = self.members[name]
+
+        def probe(flow_count: int) -> LoadReport:
+            load = self.loads.get(name, flow_count)
+            can_take = name not in self.full and flow_count < CAPACITY
+            return LoadReport(one.member_id, flow_count, load, can_take)
+
+        self.finders[name] = FlowFinder(
+            candidate_of(one),
+            NAME,
+            policies.get('lightest'),
+            probe,
+            one.incarnation,
+        )
+
+    def restart(self, name: str) -> None:
+        """Starts the next incarnation of an agent and tells all."""
+        one = self.members[name]
+        self.members[name] = evolve(one, incarnation=one.incarnation + 1)
+        self.start(name)
+        self.spread()
+
+    def change(self, name: str, state: MemberState) -> None:
+        """Changes an agent's state in the view of all."""
+        self.members[name] = evolve(self.members[name], state=state)
+        self.spread()
+
+    def view(self, out: tuple[str, ...] = ()) -> View:
+        """Returns the view of all members."""
+        return View(self.members.values(), frozenset(out))
+
+    def spread(self, out: tuple[str, ...] = ()) -> None:
+        """Gives every agent the newest view."""
+        for finder in self.finders.values():
+            finder.on_view(self.view(out), self.now_s)
+
+    def settle(self) -> None:
+        """Lets the grace of former views pass."""
+        self.now_s += 32.0
+        self.wait(0.2)
+
+    def wait(self, seconds: float) -> None:
+        """Lets time pass, with ticks."""
+        for _ in range(int(seconds / TICK_S)):
+            self.now_s += TICK_S
+            for name, finder in list(self.finders.items()):
+                self.pump(name, finder.tick(self.now_s))
+
+    def route(self, key: bytes, view: View | None = None) -> FlowRoute:
+        """Returns a flow's route as a balancer with `view` makes it."""
+        seen = view or self.view()
+        return FlowRoute(
+            NAME.team,
+            NAME.service,
+            key,
+            seen.service_version(NAME),
+            candidates_in(seen, NAME, key),
+            BALANCER,
+        )
+
+    def open(self, key: bytes, view: View | None = None) -> str:
+        """Opens a flow; returns the name of its holder, or nothing."""
+        route = self.route(key, view)
+        search = OpenSearch(route, 0, 0, False, (), b'open')
+        self.carry(route.candidates[0].endpoint(), search)
+        return self.holder(key)
+
+    def holder(self, key: bytes) -> str:
+        """Returns who holds a flow; several names when there are several."""
+        return ','.join(
+            name
+            for name, finder in self.finders.items()
+            if key in finder.table.held
+        )
+
+    def send(
+        self,
+        key: bytes,
+        view: View | None = None,
+        to: str = '',
+        kind: PacketKind = PacketKind.WITHIN,
+    ) -> None:
+        """Sends a packet by a balancer's view, or by its hint `to`."""
+        route = self.route(key, view)
+        endpoint = route.candidates[0].endpoint()
+        if to:
+            endpoint = self.members[to].endpoint
+        self.carry(endpoint, Steered(route, kind, 0, 0, b'within'))
+
+    def carry(self, endpoint: Endpoint, message: Any) -> None:
+        """Brings a message to an agent and follows what comes of it."""
+        self.pump('', [SendMessage(endpoint, message)])
+
+    def pump(self, name: str, actions: list[Action]) -> None:
+        """Carries out actions, and those that come of them."""
+        waiting = deque((name, action) for action in actions)
+        while waiting:
+            actor, action = waiting.popleft()
+            for follow_up in self._perform(actor, action):
+                waiting.append(follow_up)
+
+    def name_at(self, endpoint: Endpoint) -> str:
+        """Returns the running agent at an address, or nothing."""
+        for name in self.finders:
+            if self.members[name].endpoint == endpoint:
+                return name
+        return ''
+
+    def _perform(self, actor: str, action: Action) -> list[Any]:
+        if isinstance(action, Deliver):
+            self.delivered.append((actor, action.flow_key))
+        elif isinstance(action, Refuse):
+            self.refused.append(action.code)
+        elif isinstance(action, Drop):
+            self.dropped.append(action.code)
+        elif isinstance(action, SendSteered):
+            self.hop_counts.append(action.steered.hop_count)
+            return self._bring(action.endpoint, action.steered)
+        elif isinstance(action, SendMessage):
+            return self._bring(action.endpoint, action.message)
+        return []
+
+    def _bring(self, endpoint: Endpoint, message: Any) -> list[Any]:
+        self.sent_count += 1
+        if isinstance(message, FlowHint):
+            self.hints.append(message)
+            return []
+        name = self.name_at(endpoint)
+        if not name or self.is_lost(message):
+            return []
+        actions = self._take(self.finders[name], message)
+        return [(name, action) for action in actions]
+
+    def _take(self, finder: FlowFinder, message: Any) -> list[Action]:
+        takers = {
+            Steered: finder.on_steered,
+            OpenSearch: finder.on_open,
+            HolderRecord: finder.on_record,
+            HandoverPart: finder.on_part,
+        }
+        if type(message) in takers:
+            return takers[type(message)](message, self.now_s)
+        if isinstance(message, RecordAck):
+            return finder.on_ack(message)
+        if isinstance(message, HandoverAsk):
+            return finder.handover.on_ask(message)
+        if isinstance(message, HandoverAck):
+            finder.handover.on_ack(message)
+        return []
+
+
+def flow_bench(names: str = 'abcdefg') -> FlowBench:
+    """Returns a bench whose agents have settled."""
+    bench = FlowBench()
+    bench.add(*names)
+    bench.settle()
+    return bench
--- /dev/null
+++ b/features/steps/flow_finding_steps.py
@@ -0,0 +1,298 @@
+"""Steps of the flow finder's feature."""
+
+from attrs import evolve
+from behave import given, then, when
+
+from cumindrift.address import Endpoint
+from cumindrift.membership.member import MemberState
+from cumindrift.membership.view import View
+from cumindrift.registry import Registry
+from cumindrift.settings.tree import Service, Snapshot, Team, Tree
+from cumindrift.traffic.candidates import candidate_of
+from cumindrift.traffic.flow import Record
+from cumindrift.traffic.message import FlowHint, HolderRecord, Steered
+from cumindrift.traffic.packet import peek_flow_key, udp_packet
+from cumindrift.traffic.steering import BalancerCore
+from features.builders.flow import BALANCER, NAME, flow_bench, key_of, member
+
+
+def names_of(bench, key):
+    """Returns the names of a flow's candidates, home first."""
+    return [
+        bench.name_at(candidate.endpoint())
+        for candidate in bench.route(key).candidates
+    ]
+
+
+def point_record(bench, keeper, holder, key):
+    """Makes a keeper believe that an agent holds a flow."""
+    record = Record(candidate_of(bench.members[holder]), 1, 1, bench.now_s)
+    bench.finders[keeper].table.records[key] = record
+
+
+def stranger_to(bench, key, holder):
+    """Returns an agent that is neither candidate nor holder."""
+    return next(
+        name
+        for name in bench.finders
+        if name not in names_of(bench, key) and name != holder
+    )
+
+
+def leave(bench, name):
+    """Removes an agent; the others see it."""
+    bench.finders.pop(name)
+    bench.members.pop(name)
+    bench.spread()
+
+
+def joins_first(bench, key, name):
+    """Tells whether an agent would be the flow's home."""
+    joined = View([*bench.members.values(), member(name)])
+    home = bench.route(key, joined).candidates[0]
+    return home == candidate_of(member(name))
+
+
+faults = Registry('flow fault')
+
+
+@faults.register('a hint to an agent that is no candidate')
+def hint_stranger(context, bench, names):
+    context.sending = {'to': stranger_to(bench, context.key, context.holder)}
+
+
+@faults.register('a hint to another candidate')
+def hint_other(context, bench, names):
+    other = next(name for name in names[2:] if name != context.holder)
+    context.sending = {'to': other}
+
+
+@faults.register('a stale record at its home')
+def stale_at_home(context, bench, names):
+    other = next(name for name in names[2:] if name != context.holder)
+    point_record(bench, names[0], other, context.key)
+
+
+@faults.register('stale records at home and second')
+def stale_at_both(context, bench, names):
+    point_record(bench, names[0], names[1], context.key)
+    point_record(bench, names[1], names[0], context.key)
+
+
+@faults.register('a balancer three joins behind')
+def balancer_behind(context, bench, names):
+    context.sending = {'view': bench.view()}
+    bench.add('h', 'i', 'j')
+
+
+@faults.register('a balancer three joins ahead')
+def balancer_ahead(context, bench, names):
+    joined = [member(name) for name in 'hij']
+    context.sending = {'view': View([*bench.members.values(), *joined])}
+    bench.members.update({one.name: one for one in joined})
+    for name in 'hij':
+        bench.start(name)
+        bench.finders[name].on_view(bench.view(), bench.now_s)
+
+
+@faults.register('an agent that joined as its home')
+def joined_as_home(context, bench, names):
+    letters = map(chr, range(ord('h'), ord('z')))
+    bench.add(next(c for c in letters if joins_first(bench, context.key, c)))
+
+
+@faults.register('its home gone in order')
+def home_gone(context, bench, names):
+    bench.change(names[0], MemberState.DRAINING)
+    bench.wait(1.0)
+    leave(bench, names[0])
+
+
+@faults.register('its home dead')
+def home_dead(context, bench, names):
+    leave(bench, names[0])
+
+
+@faults.register('its records pointing at each other')
+def records_in_circle(context, bench, names):
+    bench.finders[context.holder].table.held.clear()
+    agents = list(bench.finders)
+    for number, name in enumerate(agents):
+        point_record(bench, name, agents[number - 1], context.key)
+
+
+@faults.register('an agent of another service')
+def other_service(context, bench, names):
+    route = evolve(bench.route(context.key), service='asiakirja')
+    context.sending = {'route': route}
+
+
+@faults.register('its data centre taken out')
+def centre_out(context, bench, names):
+    bench.spread(out=(bench.members[context.holder].data_centre,))
+
+
+@faults.register('its data centre taken out and back')
+def centre_back(context, bench, names):
+    centre_out(context, bench, names)
+    bench.wait(1.0)
+    bench.spread()
+
+
+@faults.register('a route of an unknown view')
+def unknown_view(context, bench, names):
+    bench.finders[context.holder].table.held.clear()
+    route = evolve(bench.route(context.key), view_version=1)
+    context.sending = {'route': route}
+
+
+def flow_where(bench, is_wanted):
+    """Opens flows until one is as wanted; returns its key and holder."""
+    for number in range(200):
+        key = key_of(number)
+        holder = bench.open(key)
+        if is_wanted(names_of(bench, key), holder):
+            return key, holder
+    raise LookupError('no such flow')
+
+
+@given('a flow fleet of 7 agents')
+def step_fleet(context):
+    context.bench = flow_bench()
+    context.key = key_of(1)
+
+
+@given('a flow fleet of 7 agents with a flow')
+@given('a flow fleet of 7 agents with a flow held away from its home')
+def step_fleet_flow(context):
+    context.bench = flow_bench()
+    context.key, context.holder = flow_where(
+        context.bench,
+        lambda names, holder: holder not in names[:2],
+    )
+    context.bench.wait(1.0)
+    context.bench.delivered.clear()
+    context.bench.hints.clear()
+
+
+@when('the flow meets {fault}')
+def step_fault(context, fault):
+    context.sending = {}
+    names = names_of(context.bench, context.key)
+    faults.get(fault)(context, context.bench, names)
+
+
+@when('a flow packet is sent')
+def step_send(context):
+    bench = context.bench
+    for seen in (bench.delivered, bench.refused, bench.dropped):
+        seen.clear()
+    bench.hop_counts.clear()
+    route = context.sending.pop('route', None)
+    if route is None:
+        bench.send(context.key, **context.sending)
+    else:
+        packet = Steered(route, 2, 0, 0, b'within')
+        bench.carry(route.candidates[0].endpoint(), packet)
+
+
+@then('the flow packet is delivered once, at the holder')
+def step_delivered(context):
+    expected = [(context.holder, context.key)]
+    assert context.bench.delivered == expected, context.bench
+
+
+@then('the flow search took at most {hops:d} hops')
+def step_hops(context, hops):
+    assert max(context.bench.hop_counts, default=0) <= hops, context.bench
+
+
+@then('no flow packet is delivered')
+def step_nowhere(context):
+    assert not context.bench.delivered, context.bench.delivered
+
+
+@then('the flow packet ends with code {code:d}')
+def step_code(context, code):
+    ended = context.bench.refused + context.bench.dropped
+    assert ended == [code], ended
+
+
+@when('its home hears flow records {first} and then {second}')
+def step_records(context, first, second):
+    bench = context.bench
+    holder = candidate_of(bench.members[context.holder])
+    home = names_of(bench, context.key)[0]
+    bench.finders[home].table.records.clear()
+    for order in (first, second):
+        incarnation, sequence = map(int, order.split('.'))
+        record = HolderRecord(
+            NAME.team,
+            NAME.service,
+            context.key,
+            holder,
+            incarnation,
+            sequence,
+            0,
+            True,
+            holder,
+        )
+        bench.carry(bench.members[home].endpoint, record)
+
+
+@then('its home keeps flow record {kept}')
+def step_kept(context, kept):
+    home = names_of(context.bench, context.key)[0]
+    record = context.bench.finders[home].table.records[context.key]
+    assert record.order() == tuple(map(int, kept.split('.'))), record
+
+
+@when('10 flow packets are sent to its home within 1 second')
+@when('10 flow packets are sent to its home a second later')
+def step_many(context):
+    context.bench.wait(1.1)
+    context.bench.now_s = round(context.bench.now_s, 3)
+    for _ in range(10):
+        context.bench.now_s += 0.05
+        context.bench.send(context.key)
+
+
+@then('{number:d} flow hint is sent')
+@then('{number:d} flow hints are sent')
+def step_hints(context, number):
+    assert len(context.bench.hints) == number, context.bench.hints
+
+
+@given('a flow balancer whose view has hel-a out')
+def step_balancer(context):
+    bench = flow_bench()
+    core = BalancerCore(BALANCER)
+    services = {'kaynti': Service('10.20.0.1', 700, 'udp', 'packets')}
+    core.on_settings(Snapshot(1, Tree(teams={NAME.team: Team(services)})))
+    core.on_view(bench.view(out=('hel-a',)))
+    context.bench, context.core = bench, core
+    context.packet = udp_packet(
+        Endpoint('10.1.0.1', 4000),
+        Endpoint('10.20.0.1', 700),
+        b'whole',
+    )
+    core.steer(context.packet)
+
+
+@when('a flow hint names a holder in hel-a')
+def step_hint_out(context):
+    holder = next(
+        one
+        for one in context.bench.members.values()
+        if one.data_centre == 'hel-a'
+    )
+    key = peek_flow_key(context.packet)
+    hint = FlowHint('kaynti', key, candidate_of(holder), held=True)
+    context.core.on_hint(hint)
+
+
+@then('the flow balancer steers to no agent in hel-a')
+def step_not_out(context):
+    pair = context.core.steer(context.packet).entry.pair
+    name = context.bench.name_at(Endpoint(*pair))
+    assert context.bench.members[name].data_centre != 'hel-a', name
