--- a/cumindrift/traffic/agent.py
+++ b/cumindrift/traffic/agent.py
@@ -28,6 +28,7 @@
 from cumindrift.traffic.finder import FlowFinder
 from cumindrift.traffic.frame import STEERED_FAMILY
 from cumindrift.traffic.front import FrontEnd, RequestsFront, fronts
+from cumindrift.traffic.leaving import AgentLeaving
 from cumindrift.traffic.message import (
     HandoverAck,
     HandoverAsk,
@@ -249,6 +250,24 @@
     DROPS.labels(action.code.name).inc()
 
 
+def make_leaving(core: AgentCore) -> AgentLeaving:
+    """Returns the stop step of an agent."""
+    context = core.context
+
+    def export() -> bytes:
+        return core.export_ledger()
+
+    def announce(state: MemberState) -> None:
+        context.send_all(context.membership.change_state(state))
+
+    return AgentLeaving(
+        core.finder,
+        context.settings.stop_within_s,
+        export,
+        announce,
+    )
+
+
 @roles.register('agent')
 def prepare_agent(context: Context) -> Callable[[], Supervisor]:
     """Builds the agent's core once; returns the supervisor's builder."""
@@ -258,6 +277,7 @@
     core = AgentCore(context, target)
     context.view_listeners.append(core.on_view)
     context.snapshot_listeners.append(core.on_snapshot)
+    context.stop_steps.append(make_leaving(core).step)
     context.receivers[traffic.number] = core.on_message
     context.receivers[STEERED_FAMILY] = core.on_message
 
