Frames are read apart from sockets; cores attach apart from supervisors

Cause: the whole path could not be driven in virtual time, since opening a datagram needed a socket and the cores were built inside closures. Change: FrameReader, attach_agent and attach_balancer; the port only carries.

--- a/cumindrift/peer.py
+++ b/cumindrift/peer.py
@@ -7,33 +7,23 @@
 from cumindrift.context import Context
 from cumindrift.metric import DROPS
 from cumindrift.port import DatagramPort
+from cumindrift.traffic.frame import STEERED_FAMILY
 from cumindrift.wire import WireError, decode_frame
 
 
-class PeerPort(DatagramPort):
-    """Opens, decodes and hands on; used by the root supervisor.
+class FrameReader:
+    """Opens, decodes and hands on datagrams; the peer port has one.
 
     A datagram without a valid digest, and one that no family can decode,
     is counted and changes nothing.
     """
 
     def __init__(self, context: Context) -> None:
-        """Binds the peer address of the process settings."""
-        super().__init__(
-            Endpoint.parse(context.settings.peer),
-            self._open_datagram,
-        )
+        """Takes the context whose receivers get the messages."""
         self._context = context
-        context.send_frame = self._send_frame
-        context.send_raw = self._send_raw
-
-    def _send_frame(self, peer: Endpoint, frame: bytes) -> None:
-        self.send(self._context.keyring.seal(frame), peer.pair())
-
-    def _send_raw(self, peer: Endpoint, octets: bytes) -> None:
-        self.send(octets, peer.pair())
 
-    def _open_datagram(self, datagram: bytes, _pair: tuple[str, int]) -> None:
+    def read(self, datagram: bytes) -> None:
+        """Takes one sealed datagram."""
         frame = self._context.keyring.open(datagram)
         if frame is None:
             DROPS.labels(ResultCode.MESSAGE_FORGED.name).inc()
@@ -51,6 +41,27 @@
         receiver(message, self._context.clock())
 
     def _decode(self, frame: bytes) -> object:
-        if frame[0] == 1:
+        if frame[0] == STEERED_FAMILY:
             return self._context.codec.decode(frame)
         return decode_frame(frame)
+
+
+class PeerPort(DatagramPort):
+    """Carries sealed frames; a child of the root supervisor."""
+
+    def __init__(self, context: Context) -> None:
+        """Binds the peer address of the process settings."""
+        reader = FrameReader(context)
+        super().__init__(
+            Endpoint.parse(context.settings.peer),
+            lambda datagram, _pair: reader.read(datagram),
+        )
+        self._context = context
+        context.send_frame = self._send_frame
+        context.send_raw = self._send_raw
+
+    def _send_frame(self, peer: Endpoint, frame: bytes) -> None:
+        self.send(self._context.keyring.seal(frame), peer.pair())
+
+    def _send_raw(self, peer: Endpoint, octets: bytes) -> None:
+        self.send(octets, peer.pair())
--- a/cumindrift/traffic/agent.py
+++ b/cumindrift/traffic/agent.py
@@ -268,9 +268,8 @@
     )
 
 
-@roles.register('agent')
-def prepare_agent(context: Context) -> Callable[[], Supervisor]:
-    """Builds the agent's core once; returns the supervisor's builder."""
+def attach_agent(context: Context) -> AgentCore:
+    """Builds the agent's core and connects it with the context."""
     target = context.settings.target
     if target is None:
         raise RoleSettingsError('an agent needs `target` in its settings')
@@ -280,6 +279,14 @@
     context.stop_steps.append(make_leaving(core).step)
     context.receivers[traffic.number] = core.on_message
     context.receivers[STEERED_FAMILY] = core.on_message
+    return core
+
+
+@roles.register('agent')
+def prepare_agent(context: Context) -> Callable[[], Supervisor]:
+    """Builds the agent's core once; returns the supervisor's builder."""
+    core = attach_agent(context)
+    target = core.target
 
     def build_link() -> TargetLink:
         link = TargetLink(Endpoint.parse(target.http))
--- a/cumindrift/traffic/balancer.py
+++ b/cumindrift/traffic/balancer.py
@@ -57,22 +57,27 @@
         self._context.send_frame(Endpoint(*entry.pair), frame)
 
 
-@roles.register('balancer')
-def prepare_balancer(context: Context) -> Callable[[], Supervisor]:
-    """Builds the balancer's core once; returns the supervisor's builder."""
-    if not context.settings.fabric:
-        raise RoleSettingsError('a balancer needs `fabric` in its settings')
+def attach_balancer(context: Context) -> FabricFront:
+    """Builds the balancer's core and connects it with the context."""
     core = BalancerCore(candidate_of(context.me))
     core.on_view(context.membership.view)
     core.on_settings(context.snapshots.snapshot)
     context.view_listeners.append(core.on_view)
     context.snapshot_listeners.append(core.on_settings)
-    front = FabricFront(context, core)
 
     def receive(message: FlowHint, _now_s: float) -> None:
         core.on_hint(message)
 
     context.receivers[traffic.number] = receive
+    return FabricFront(context, core)
+
+
+@roles.register('balancer')
+def prepare_balancer(context: Context) -> Callable[[], Supervisor]:
+    """Builds the balancer's core once; returns the supervisor's builder."""
+    if not context.settings.fabric:
+        raise RoleSettingsError('a balancer needs `fabric` in its settings')
+    front = attach_balancer(context)
     fabric = Endpoint.parse(context.settings.fabric)
     return lambda: Supervisor(
         'traffic',
--- a/features/builders/peer.py
+++ b/features/builders/peer.py
@@ -1,11 +1,11 @@
-"""Builds peer ports and the datagrams that they meet."""
+"""Builds frame readers and the datagrams that they meet."""
 
 from attrs import evolve
 
 from cumindrift.context import Context, make_context
 from cumindrift.keyring import Keyring
 from cumindrift.membership.message import Records, Sender, membership
-from cumindrift.peer import PeerPort
+from cumindrift.peer import FrameReader
 from cumindrift.settings.process import ProcessSettings
 from cumindrift.wire import encode_frame
 from lab.member_cluster import make_member
@@ -32,14 +32,13 @@
     return make_context(settings)
 
 
-def recording_port(received: list):
-    """Returns a peer port whose membership messages land in a list."""
+def recording_reader(received: list) -> FrameReader:
+    """Returns a frame reader whose membership messages land in a list."""
     context = peer_context()
-    port = PeerPort(context)
     context.receivers[membership.number] = lambda message, _now_s: (
         received.append(message)
     )
-    return port
+    return FrameReader(context)
 
 
 def datagram_that_is(kind: str) -> bytes:
--- a/features/steps/keyring_steps.py
+++ b/features/steps/keyring_steps.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 
 from cumindrift.metric import DROPS
-from features.builders.peer import datagram_that_is, recording_port, ring
+from features.builders.peer import datagram_that_is, recording_reader, ring
 
 
 @given('a datagram that was sealed with key {name}')
@@ -44,8 +44,7 @@
 @given('a peer port that shares key a with its peers')
 def step_port(context):
     context.received = []
-    context.port = recording_port(context.received)
-    context.add_cleanup(context.port.release)
+    context.reader = recording_reader(context.received)
 
 
 @when('a datagram arrives that is {kind}')
@@ -54,7 +53,7 @@
         code: DROPS.labels(code)._value.get()
         for code in ('MESSAGE_FORGED', 'MESSAGE_MALFORMED')
     }
-    context.port._open_datagram(datagram_that_is(kind), ('127.0.0.1', 1))
+    context.reader.read(datagram_that_is(kind))
 
 
 @then('it is counted as {code} and reaches no core')
