Settings spread by rounds and exchanges; feeders and rosters

The first two members of a data centre are its feeders: they watch `settings` and their own roster, and write the roster on change, conditionally.

--- a/cumindrift/context.py
+++ b/cumindrift/context.py
@@ -1,6 +1,6 @@
 """The context of a process: the cores that outlive their components."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 from time import monotonic, time
 from typing import Any
@@ -15,6 +15,8 @@
 from cumindrift.platform.client import StoreCore
 from cumindrift.platform.link import RemoteStore
 from cumindrift.platform.pace import Pace
+from cumindrift.settings.distribution import Distribution
+from cumindrift.settings.feeder import Feeder
 from cumindrift.settings.process import ProcessSettings
 from cumindrift.settings.snapshot import SnapshotStore
 from cumindrift.settings.tree import Snapshot
@@ -52,18 +54,35 @@
     is_stopping: bool = False
     membership: MembershipCore = field(init=False)
     snapshots: SnapshotStore = field(init=False)
+    distribution: Distribution = field(init=False)
     store: RemoteStore = field(init=False)
+    feeder: Feeder = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Builds the cores that every role has."""
+        seeds = tuple(Endpoint.parse(seed) for seed in self.settings.seeds)
         self.membership = MembershipCore(
             self.me,
-            tuple(Endpoint.parse(seed) for seed in self.settings.seeds),
+            seeds,
             self.random,
             self._publish_view,
         )
         self.snapshots = SnapshotStore(self._publish_snapshot)
+        self.distribution = Distribution(
+            self.me.endpoint,
+            seeds,
+            self.random,
+            self.snapshots,
+        )
         self.store = RemoteStore(StoreCore(Pace(self.random)), self.clock)
+        self.feeder = Feeder(
+            self.me,
+            self.store,
+            self.random,
+            self.distribution,
+            self._members,
+            self._merge_members,
+        )
 
     def send(self, peer: Endpoint, message: Any) -> None:
         """Encodes a message of any family and sends it to a peer."""
@@ -79,6 +98,12 @@
         for action in actions:
             self.send(action.endpoint, action.message)
 
+    def _members(self) -> Iterable[Member]:
+        return self.membership.view.members.values()
+
+    def _merge_members(self, members: tuple[Member, ...]) -> None:
+        self.membership.merge(members, self.clock())
+
     def _publish_view(self, view: View) -> None:
         for listener in self.view_listeners:
             listener(view)
--- a/cumindrift/membership/gossip.py
+++ b/cumindrift/membership/gossip.py
@@ -1,6 +1,6 @@
 """Gossip: how members learn of each other, without I/O."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 
 from attrs import define, evolve, field
@@ -52,6 +52,12 @@
         if self._believe(leave.sender, now_s):
             self._publish()
 
+    def merge(self, members: Iterable[Member], now_s: float) -> None:
+        """Takes members that a roster names; older records change nothing."""
+        changed = [self._believe(member, now_s) for member in members]
+        if any(changed):
+            self._publish()
+
     def on_data_centres_out(self, names: frozenset[str]) -> None:
         """Takes the data centres that the settings put out."""
         if names != self.data_centres_out:
--- /dev/null
+++ b/cumindrift/platform/roster.py
@@ -0,0 +1,205 @@
+"""Rosters: one object for each data centre that names its members."""
+
+import json
+import zlib
+from collections.abc import Callable, Iterable
+from random import Random
+
+from attrs import define, field
+from cattrs import Converter
+from loguru import logger
+
+from cumindrift.code import ResultCode
+from cumindrift.membership.member import Member, MemberState
+from cumindrift.outcome import Done, Outcome, Refused
+from cumindrift.platform.store import (
+    ABSENT_VERSION,
+    VALUE_BYTES_MAX,
+    ObjectStore,
+    StoredObject,
+)
+
+KEY_PREFIX = 'roster/'
+WRITE_PERIOD_S = 5.0
+# The second feeder gives the first one time to write the same change.
+RANK_DELAY_S = 10.0
+# A stored member that nobody has seen this long is left out.
+UNSEEN_KEEP_S = 600.0
+WRITE_ID_BYTES = 8
+BARE_BYTES_MAX = 8 * VALUE_BYTES_MAX
+
+# Unknown fields are passed over: processes of two releases share a roster.
+_CONVERTER = Converter(detailed_validation=False)
+
+
+@define(frozen=True, slots=True)
+class Roster:
+    """The members of one data centre, ordered by id."""
+
+    members: tuple[Member, ...] = ()
+
+
+def roster_key(data_centre: str) -> str:
+    """Returns the key of a data centre's roster."""
+    return f'{KEY_PREFIX}{data_centre}'
+
+
+def encode_roster(roster: Roster) -> bytes:
+    """Returns the stored form: compressed JSON."""
+    return zlib.compress(json.dumps(_CONVERTER.unstructure(roster)).encode())
+
+
+def decode_roster(body: bytes) -> Done | Refused:
+    """Reads a stored roster; an absent one is empty."""
+    if not body:
+        return Done(Roster())
+    try:
+        document = zlib.decompressobj().decompress(body, BARE_BYTES_MAX)
+    except zlib.error as error:
+        return Refused(ResultCode.PLATFORM_MALFORMED, '$', str(error))
+    try:
+        return Done(_CONVERTER.structure(json.loads(document), Roster))
+    except (LookupError, TypeError, ValueError) as error:
+        return Refused(ResultCode.PLATFORM_MALFORMED, '$', repr(error))
+
+
+def merge_members(first: Iterable[Member], second: Iterable[Member]) -> Roster:
+    """Returns the newest record of each member; idempotent."""
+    newest: dict[int, Member] = {}
+    for member in (*first, *second):
+        known = newest.get(member.member_id)
+        if known is None or member.newer_than(known):
+            newest[member.member_id] = member
+    return Roster(
+        tuple(
+            newest[member_id]
+            for member_id in sorted(newest)
+            if newest[member_id].state < MemberState.LEFT
+        ),
+    )
+
+
+@define(slots=True, eq=False)
+class RosterKeeper:
+    """Keeps the roster of the own data centre; used by the feeder.
+
+    It writes on change only, at most once in WRITE_PERIOD_S, conditional on
+    the version that it has read; two keepers at once do no harm.
+    """
+
+    data_centre: str
+    store: ObjectStore
+    random: Random
+    # Takes the members that a stored roster names.
+    on_members: Callable[[tuple[Member, ...]], None]
+    _version: int | None = None
+    _stored: Roster = field(factory=Roster)
+    _unseen_since_s: dict[int, float] = field(factory=dict)
+    _waiting_since_s: float | None = None
+    _is_busy: bool = False
+    _next_s: float = 0.0
+
+    def on_stored(self, stored: StoredObject) -> None:
+        """Takes a version that was read, written or watched."""
+        if self._version is not None and stored.version < self._version:
+            return
+        decoded = decode_roster(stored.body)
+        if isinstance(decoded, Refused):
+            logger.error('{}: {}', stored.key, decoded.line())
+            # Written over by the next change: peers know the members.
+            decoded = Done(Roster())
+        self._version = stored.version
+        self._stored = decoded.content
+        self.on_members(self._stored.members)
+
+    def tick(
+        self,
+        members: Iterable[Member] | None,
+        rank: int,
+        now_s: float,
+    ) -> None:
+        """Reads the roster first, then writes what changed.
+
+        Without `members` the roster is another data centre's: only read.
+        """
+        if self._is_busy or now_s < self._next_s:
+            return
+        self._next_s = now_s + WRITE_PERIOD_S * (0.5 + self.random.random())
+        if self._version is None:
+            self._is_busy = True
+            self.store.read(roster_key(self.data_centre), self._on_read)
+            return
+        if members is None:
+            return
+        seen = [
+            member
+            for member in members
+            if member.data_centre == self.data_centre
+        ]
+        wanted = merge_members(seen, self._kept(seen, now_s))
+        if wanted == self._stored:
+            self._waiting_since_s = None
+        elif not rank or self._has_waited(rank, now_s):
+            self._write(wanted)
+
+    @property
+    def is_read(self) -> bool:
+        """Whether the stored version is known."""
+        return self._version is not None
+
+    @property
+    def version(self) -> int:
+        """The version that the keeper knows of."""
+        return self._version or ABSENT_VERSION
+
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """The members in the stored roster."""
+        return self._stored.members
+
+    def _kept(self, seen: list[Member], now_s: float) -> list[Member]:
+        """Returns stored members that are seen, or were not long ago."""
+        seen_ids = {member.member_id for member in seen}
+        unseen = {
+            member.member_id: self._unseen_since_s.get(
+                member.member_id,
+                now_s,
+            )
+            for member in self._stored.members
+            if member.member_id not in seen_ids
+        }
+        self._unseen_since_s = unseen
+        return [
+            member
+            for member in self._stored.members
+            if now_s - unseen.get(member.member_id, now_s) < UNSEEN_KEEP_S
+        ]
+
+    def _write(self, wanted: Roster) -> None:
+        self._waiting_since_s = None
+        self._is_busy = True
+        self.store.write(
+            roster_key(self.data_centre),
+            encode_roster(wanted),
+            self.version,
+            self.random.randbytes(WRITE_ID_BYTES).hex(),
+            self._on_written,
+        )
+
+    def _has_waited(self, rank: int, now_s: float) -> bool:
+        if self._waiting_since_s is None:
+            self._waiting_since_s = now_s
+        return now_s - self._waiting_since_s >= rank * RANK_DELAY_S
+
+    def _on_read(self, outcome: Outcome) -> None:
+        self._is_busy = False
+        if isinstance(outcome, Done):
+            self.on_stored(outcome.content)
+
+    def _on_written(self, outcome: Outcome) -> None:
+        self._is_busy = False
+        if isinstance(outcome, Done):
+            self.on_stored(outcome.content)
+        else:
+            # Read again: another keeper may have written.
+            self._version = None
--- a/cumindrift/platform/supervisor.py
+++ b/cumindrift/platform/supervisor.py
@@ -4,6 +4,9 @@
 from cumindrift.context import Context
 from cumindrift.platform.link import PlatformLink
 from cumindrift.supervision import ChildSpec, Supervisor
+from cumindrift.ticker import Ticker
+
+TICK_PERIOD_S = 0.5
 
 
 def build_platform(context: Context) -> Supervisor:
@@ -16,7 +19,14 @@
     if not address:
         return Supervisor('platform', [])
     endpoint = Endpoint.parse(address)
+
+    def feed() -> None:
+        context.feeder.tick(context.clock())
+
     return Supervisor(
         'platform',
-        [ChildSpec('link', lambda: PlatformLink(context.store, endpoint))],
+        [
+            ChildSpec('link', lambda: PlatformLink(context.store, endpoint)),
+            ChildSpec('feeder', lambda: Ticker('feeder', TICK_PERIOD_S, feed)),
+        ],
     )
--- /dev/null
+++ b/cumindrift/settings/distribution.py
@@ -0,0 +1,334 @@
+"""Distribution: how an accepted snapshot reaches every process."""
+
+from collections import deque
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from attrs import define, field
+from loguru import logger
+
+from cumindrift.address import Endpoint
+from cumindrift.code import ResultCode
+from cumindrift.invariant import require
+from cumindrift.membership.view import View
+from cumindrift.metric import DROPS
+from cumindrift.outcome import Refused
+from cumindrift.settings.message import (
+    ChunkAsk,
+    SnapshotChunk,
+    VersionReport,
+)
+from cumindrift.settings.snapshot import SnapshotStore
+from cumindrift.settings.transfer import (
+    CHUNK_COUNT_MAX,
+    WINDOW_CHUNKS,
+    Incoming,
+    chunk_count,
+    cut_chunk,
+)
+from cumindrift.settings.tree import Snapshot
+from cumindrift.traffic.action import SendMessage
+
+ROUND_S = 0.2
+ROUND_COUNT = 5
+FANOUT = 2
+EXCHANGE_PERIOD_S = 2.0
+# A process without settings asks more often.
+JOIN_PERIOD_S = 0.5
+CHUNK_RETRY_S = 0.4
+TRANSFER_TIMEOUT_S = 10.0
+HANDED_PEERS = 3
+HAND_OVER_TIMEOUT_S = 2.0
+REPORT_AGE_S = 60.0
+SURVEY_PEERS_A_TICK = 200
+
+OnHanded = Callable[[int], None]
+
+
+@define(slots=True)
+class _HandOver:
+    """A published version that waits for peers to confirm it."""
+
+    version: int
+    on_handed: OnHanded
+    deadline_s: float = 0.0
+    next_s: float = 0.0
+    confirmed: set[Endpoint] = field(factory=set)
+
+
+@define(frozen=True, slots=True)
+class _Report:
+    version: int
+    at_s: float
+
+
+@define(slots=True, eq=False)
+class Distribution:
+    """Spreads snapshots and versions; one for each process.
+
+    A process that takes a version announces it to a few random peers for a
+    few rounds. What the rounds miss is found by the periodic exchange of
+    versions with one random peer. Messages go out with `tick` and as
+    answers; all times are passed in.
+    """
+
+    me: Endpoint
+    seeds: tuple[Endpoint, ...]
+    random: Random
+    store: SnapshotStore
+    _view: View = field(factory=View)
+    _known_peers: tuple[Endpoint, ...] | None = None
+    _rounds_left: int = 0
+    _round_next_s: float = 0.0
+    _exchange_next_s: float = 0.0
+    _incoming: Incoming | None = None
+    _hand_overs: list[_HandOver] = field(factory=list)
+    _reports: dict[Endpoint, _Report] = field(factory=dict)
+    _survey: deque[Endpoint] = field(factory=deque)
+
+    def on_view(self, view: View) -> None:
+        """Takes the members to spread to."""
+        self._view = view
+        self._known_peers = None
+
+    def publish(
+        self,
+        snapshot: Snapshot,
+        on_handed: OnHanded | None = None,
+    ) -> bool:
+        """Puts a snapshot in force here and hands it to peers.
+
+        `on_handed` is called once with the number of peers that confirmed
+        the version or a newer one: at once when enough did, else after
+        HAND_OVER_TIMEOUT_S with however many there are, perhaps none.
+        Returns False when the snapshot is not newer than what is in force.
+        """
+        is_taken = self.store.take(snapshot)
+        if is_taken:
+            self._start_rounds()
+        if on_handed is not None:
+            self._hand_overs.append(_HandOver(snapshot.version, on_handed))
+        return is_taken
+
+    def versions(self, now_s: float) -> dict[Endpoint, int]:
+        """Returns what peers reported within REPORT_AGE_S."""
+        return {
+            peer: report.version
+            for peer, report in self._reports.items()
+            if now_s - report.at_s <= REPORT_AGE_S
+        }
+
+    def survey(self) -> None:
+        """Starts to ask every peer for its version; see `versions`."""
+        self._survey = deque(self._peers())
+
+    def receive(self, message: Any, now_s: float) -> list[SendMessage]:
+        """Takes a message of the family; returns what it gives rise to."""
+        if isinstance(message, SnapshotChunk):
+            return self._on_chunk(message, now_s)
+        if isinstance(message, ChunkAsk):
+            return self._on_ask(message)
+        return self._on_report(message, now_s)
+
+    def tick(self, now_s: float) -> list[SendMessage]:
+        """Sends what is due."""
+        return [
+            *self._tick_rounds(now_s),
+            *self._tick_exchange(now_s),
+            *self._tick_incoming(now_s),
+            *self._tick_hand_overs(now_s),
+            *self._tick_survey(),
+        ]
+
+    def _start_rounds(self) -> None:
+        self._rounds_left = ROUND_COUNT
+        self._round_next_s = 0.0
+
+    def _tick_rounds(self, now_s: float) -> list[SendMessage]:
+        if not self._rounds_left or now_s < self._round_next_s:
+            return []
+        self._rounds_left -= 1
+        self._round_next_s = now_s + ROUND_S * (0.5 + self.random.random())
+        return [self._announce(peer) for peer in self._choose(FANOUT)]
+
+    def _tick_exchange(self, now_s: float) -> list[SendMessage]:
+        if now_s < self._exchange_next_s:
+            return []
+        is_joining = self.store.snapshot.version == 0
+        period_s = JOIN_PERIOD_S if is_joining else EXCHANGE_PERIOD_S
+        self._exchange_next_s = now_s + period_s * (0.5 + self.random.random())
+        self._reports = {
+            peer: report
+            for peer, report in self._reports.items()
+            if now_s - report.at_s <= REPORT_AGE_S
+        }
+        return [
+            self._report_to(peer, wants_answer=is_joining)
+            for peer in self._choose(1)
+        ]
+
+    def _tick_incoming(self, now_s: float) -> list[SendMessage]:
+        incoming = self._incoming
+        if incoming is None or now_s < incoming.progress_s + CHUNK_RETRY_S:
+            return []
+        if now_s >= incoming.started_s + TRANSFER_TIMEOUT_S:
+            # A later exchange starts again, perhaps with another holder.
+            self._incoming = None
+            return []
+        return [self._ask_for(incoming, now_s)]
+
+    def _tick_hand_overs(self, now_s: float) -> list[SendMessage]:
+        sent: list[SendMessage] = []
+        for hand_over in list(self._hand_overs):
+            if not hand_over.deadline_s:
+                hand_over.deadline_s = now_s + HAND_OVER_TIMEOUT_S
+            if self._is_handed(hand_over, now_s):
+                self._hand_overs.remove(hand_over)
+                hand_over.on_handed(len(hand_over.confirmed))
+            elif now_s >= hand_over.next_s:
+                hand_over.next_s = now_s + ROUND_S
+                sent.extend(
+                    self._report_to(peer, wants_answer=True)
+                    for peer in self._choose(HANDED_PEERS)
+                )
+        return sent
+
+    def _is_handed(self, hand_over: _HandOver, now_s: float) -> bool:
+        wanted = min(HANDED_PEERS, len(self._peers()))
+        is_late = now_s >= hand_over.deadline_s
+        return is_late or len(hand_over.confirmed) >= wanted
+
+    def _tick_survey(self) -> list[SendMessage]:
+        count = min(SURVEY_PEERS_A_TICK, len(self._survey))
+        return [
+            self._report_to(self._survey.popleft(), wants_answer=True)
+            for _ in range(count)
+        ]
+
+    def _on_report(
+        self,
+        report: VersionReport,
+        now_s: float,
+    ) -> list[SendMessage]:
+        self._note(report, now_s)
+        mine = self.store.packed
+        answers: list[SendMessage] = []
+        if report.version > mine.version:
+            ask = ChunkAsk(self.me, report.version, (0,))
+            answers.append(SendMessage(report.sender, ask))
+        elif report.version < mine.version:
+            answers.append(self._announce(report.sender))
+        else:
+            require(
+                report.digest == mine.digest,
+                'settings-version-has-one-content',
+                version=mine.version,
+                peer=str(report.sender),
+            )
+        if report.wants_answer:
+            answers.append(self._report_to(report.sender, wants_answer=False))
+        return answers
+
+    def _note(self, report: VersionReport, now_s: float) -> None:
+        self._reports[report.sender] = _Report(report.version, now_s)
+        for hand_over in self._hand_overs:
+            if report.version >= hand_over.version:
+                hand_over.confirmed.add(report.sender)
+
+    def _on_ask(self, ask: ChunkAsk) -> list[SendMessage]:
+        mine = self.store.packed
+        if ask.version > mine.version:
+            return []
+        if ask.version < mine.version:
+            return [self._announce(ask.sender)]
+        count = chunk_count(mine)
+        return [
+            SendMessage(ask.sender, cut_chunk(mine, number, self.me))
+            for number in ask.numbers[:WINDOW_CHUNKS]
+            if number < count
+        ]
+
+    def _on_chunk(
+        self,
+        chunk: SnapshotChunk,
+        now_s: float,
+    ) -> list[SendMessage]:
+        incoming = self._transfer_of(chunk, now_s)
+        if incoming is None:
+            return []
+        incoming.add(chunk, now_s)
+        if incoming.is_whole:
+            self._finish(incoming)
+            return []
+        if incoming.waits:
+            return []
+        return [self._ask_for(incoming, now_s)]
+
+    def _transfer_of(
+        self,
+        chunk: SnapshotChunk,
+        now_s: float,
+    ) -> Incoming | None:
+        """Returns the transfer of a chunk, or None for one without use."""
+        if chunk.version <= self.store.snapshot.version:
+            return None
+        if not 0 < chunk.chunk_count <= CHUNK_COUNT_MAX:
+            DROPS.labels(ResultCode.SNAPSHOT_CORRUPT.name).inc()
+            return None
+        current = self._incoming
+        if current is not None:
+            if current.matches(chunk):
+                return current
+            if chunk.version < current.version:
+                return None
+        self._incoming = Incoming(
+            chunk.version,
+            chunk.digest,
+            chunk.chunk_count,
+            progress_s=now_s,
+            started_s=now_s,
+        )
+        return self._incoming
+
+    def _finish(self, incoming: Incoming) -> None:
+        self._incoming = None
+        taken = self.store.take_packed(incoming.packed())
+        if isinstance(taken, Refused):
+            DROPS.labels(ResultCode.SNAPSHOT_CORRUPT.name).inc()
+            logger.error('a snapshot from peers: {}', taken.line())
+        else:
+            self._start_rounds()
+
+    def _ask_for(self, incoming: Incoming, now_s: float) -> SendMessage:
+        numbers = incoming.ask(now_s)
+        source = self.random.choice(incoming.sources)
+        return SendMessage(source, ChunkAsk(self.me, incoming.version, numbers))
+
+    def _announce(self, peer: Endpoint) -> SendMessage:
+        return SendMessage(peer, cut_chunk(self.store.packed, 0, self.me))
+
+    def _report_to(self, peer: Endpoint, *, wants_answer: bool) -> SendMessage:
+        mine = self.store.packed
+        report = VersionReport(
+            self.me,
+            mine.version,
+            mine.digest,
+            wants_answer,
+        )
+        return SendMessage(peer, report)
+
+    def _choose(self, count: int) -> list[Endpoint]:
+        peers = self._peers()
+        return self.random.sample(peers, min(count, len(peers)))
+
+    def _peers(self) -> tuple[Endpoint, ...]:
+        """Returns the members to talk to, or the seeds before any is known."""
+        if self._known_peers is None:
+            members = (
+                member.endpoint for member in self._view.members.values()
+            )
+            known = tuple(peer for peer in members if peer != self.me)
+            seeds = tuple(peer for peer in self.seeds if peer != self.me)
+            self._known_peers = known or seeds
+        return self._known_peers
--- /dev/null
+++ b/cumindrift/settings/feeder.py
@@ -0,0 +1,165 @@
+"""Feeders: the few processes that watch the platform for all others."""
+
+from collections.abc import Callable, Iterable
+from random import Random
+
+from attrs import define, field
+from loguru import logger
+from xxhash import xxh3_64_intdigest
+
+from cumindrift.membership.member import Member, MemberState
+from cumindrift.outcome import Done, Outcome, Refused
+from cumindrift.platform.roster import RosterKeeper, roster_key
+from cumindrift.platform.store import ABSENT_VERSION, ObjectStore, StoredObject
+from cumindrift.settings.distribution import Distribution
+from cumindrift.settings.snapshot import decode_tree
+
+SETTINGS_KEY = 'settings'
+FEEDER_COUNT = 2
+DUTY_PERIOD_S = 1.0
+# A newcomer waits this long for its seeds before it asks the platform.
+START_GRACE_S = 4.0
+
+Decode = Callable[[StoredObject], Done | Refused]
+
+
+def feeder_rank(me: Member, members: Iterable[Member]) -> int:
+    """Returns the place of `me` among the members of its data centre.
+
+    The order is by a digest of the names, so every process finds the same
+    one from the same members, and neighbours in name do not cluster.
+    """
+    mine = _weight(me)
+    return sum(
+        _weight(member) < mine
+        for member in members
+        if member.data_centre == me.data_centre
+        and member.state < MemberState.LEFT
+        and member.member_id != me.member_id
+    )
+
+
+def _weight(member: Member) -> tuple[int, int]:
+    digest = xxh3_64_intdigest(f'feeder/{member.name}'.encode())
+    return (digest, member.member_id)
+
+
+@define(slots=True, eq=False)
+class Feeder:
+    """Watches the platform while this process is on duty.
+
+    The first FEEDER_COUNT members of a data centre are on duty; the others
+    make no calls. Two views that differ give one feeder more or less for a
+    moment, which does no harm: snapshots are ordered by version, and
+    rosters are written conditionally.
+    """
+
+    me: Member
+    store: ObjectStore
+    random: Random
+    distribution: Distribution
+    members: Callable[[], Iterable[Member]]
+    on_members: Callable[[tuple[Member, ...]], None]
+    decode: Decode = decode_tree
+    is_on_duty: bool = False
+    _rosters: dict[str, RosterKeeper] = field(factory=dict)
+    _watched: set[str] = field(factory=set)
+    _refused_version: int = ABSENT_VERSION
+    _next_s: float = 0.0
+    _grace_until_s: float = 0.0
+
+    def tick(self, now_s: float) -> None:
+        """Decides once a period whether this process is on duty."""
+        if now_s < self._next_s:
+            return
+        self._next_s = now_s + DUTY_PERIOD_S * (0.5 + self.random.random())
+        members = tuple(self.members())
+        if not self._is_settled(members, now_s):
+            return
+        rank = feeder_rank(self.me, members)
+        self._change_duty(is_on_duty=rank < FEEDER_COUNT)
+        if not self.is_on_duty:
+            return
+        self._watch_settings()
+        own = self.me.data_centre
+        self._keep_roster(own, members, rank, now_s)
+        for data_centre in self._unseen_data_centres(members):
+            self._keep_roster(data_centre, None, rank, now_s)
+
+    def _is_settled(self, members: tuple[Member, ...], now_s: float) -> bool:
+        """Tells whether peers are known, or nobody answered in time."""
+        if not self._grace_until_s:
+            jitter = 0.5 + self.random.random()
+            self._grace_until_s = now_s + START_GRACE_S * jitter
+        return len(members) > 1 or now_s >= self._grace_until_s
+
+    def _change_duty(self, *, is_on_duty: bool) -> None:
+        if is_on_duty == self.is_on_duty:
+            return
+        self.is_on_duty = is_on_duty
+        logger.info('feeder of {}: {}', self.me.data_centre, is_on_duty)
+        if not is_on_duty:
+            # What it knew grows old; the next term starts with reading.
+            self._rosters.clear()
+
+    def _unseen_data_centres(self, members: tuple[Member, ...]) -> set[str]:
+        """Returns the other data centres of which no member is known."""
+        tree = self.distribution.store.snapshot.tree
+        seen = {member.data_centre for member in members}
+        return set(tree.data_centres) - seen - {self.me.data_centre}
+
+    def _watch_settings(self) -> None:
+        if SETTINGS_KEY in self._watched:
+            return
+        self._watched.add(SETTINGS_KEY)
+        known = max(
+            self.distribution.store.snapshot.version,
+            self._refused_version,
+        )
+        self.store.watch(SETTINGS_KEY, known, self._on_settings)
+
+    def _on_settings(self, outcome: Outcome) -> None:
+        self._watched.discard(SETTINGS_KEY)
+        if not isinstance(outcome, Done):
+            return
+        decoded = self.decode(outcome.content)
+        if isinstance(decoded, Refused):
+            logger.error('settings from the platform: {}', decoded.line())
+            self._refused_version = outcome.content.version
+            return
+        self.distribution.publish(decoded.content)
+        if self.is_on_duty:
+            self._watch_settings()
+
+    def _keep_roster(
+        self,
+        data_centre: str,
+        members: tuple[Member, ...] | None,
+        rank: int,
+        now_s: float,
+    ) -> None:
+        keeper = self._rosters.get(data_centre)
+        if keeper is None:
+            keeper = RosterKeeper(
+                data_centre,
+                self.store,
+                self.random,
+                self.on_members,
+            )
+            self._rosters[data_centre] = keeper
+        keeper.tick(members, rank, now_s)
+        if keeper.is_read:
+            self._watch_roster(keeper)
+
+    def _watch_roster(self, keeper: RosterKeeper) -> None:
+        key = roster_key(keeper.data_centre)
+        if key in self._watched:
+            return
+        self._watched.add(key)
+
+        def on_roster(outcome: Outcome) -> None:
+            self._watched.discard(key)
+            if isinstance(outcome, Done):
+                keeper.on_stored(outcome.content)
+
+        self.store.watch(key, keeper.version, on_roster)
--- a/cumindrift/settings/message.py
+++ b/cumindrift/settings/message.py
@@ -2,26 +2,44 @@
 
 from attrs import define
 
+from cumindrift.address import Endpoint
 from cumindrift.wire import Family
 
 distribution = Family(6, 'settings.capnp', 'SettingsMessage')
 
 
-@distribution.message('snapshotPush')
+@distribution.message('snapshotChunk')
 @define(frozen=True, slots=True)
-class SnapshotPush:
-    """A whole snapshot, with the digest of its document."""
+class SnapshotChunk:
+    """A piece of a packed snapshot; `digest` is that of the whole document.
 
+    Number 0 also serves as the announcement of a new version.
+    """
+
+    sender: Endpoint
     version: int
     digest: bytes
-    document: bytes
+    number: int
+    chunk_count: int
+    body: bytes
 
 
-@distribution.message('snapshotAsk')
+@distribution.message('chunkAsk')
 @define(frozen=True, slots=True)
-class SnapshotAsk:
-    """Asks for any snapshot newer than `version`."""
+class ChunkAsk:
+    """Asks for chunks of one version."""
 
+    sender: Endpoint
     version: int
-    ip: str
-    port: int
+    numbers: tuple[int, ...]
+
+
+@distribution.message('versionReport')
+@define(frozen=True, slots=True)
+class VersionReport:
+    """Tells which version is in force at the sender."""
+
+    sender: Endpoint
+    version: int
+    digest: bytes
+    wants_answer: bool
--- a/cumindrift/settings/supervisor.py
+++ b/cumindrift/settings/supervisor.py
@@ -1,40 +1,34 @@
 """The settings supervisor and its list of children."""
 
-from cumindrift.address import Endpoint
+from typing import Any
+
 from cumindrift.context import Context
-from cumindrift.settings.message import (
-    SnapshotAsk,
-    SnapshotPush,
-    distribution,
-)
-from cumindrift.settings.snapshot import encode_snapshot
+from cumindrift.settings.message import distribution
 from cumindrift.supervision import ChildSpec, Supervisor
 from cumindrift.ticker import Ticker
 
-ASK_PERIOD_S = 1.0
+TICK_PERIOD_S = 0.1
 
 
 def build_settings(context: Context) -> Supervisor:
     """Returns the supervisor; restart strategy one-for-one."""
-    store = context.snapshots
-
-    def receive(message: SnapshotPush | SnapshotAsk, _now_s: float) -> None:
-        if isinstance(message, SnapshotPush):
-            store.take_push(message)
-        elif message.version < store.snapshot.version:
-            asker = Endpoint(message.ip, message.port)
-            context.send(asker, encode_snapshot(store.snapshot))
-
-    def ask() -> None:
-        peers = list(context.membership.view.members.values())
-        me = context.me.endpoint
-        if peers:
-            peer = context.random.choice(peers)
-            version = store.snapshot.version
-            context.send(peer.endpoint, SnapshotAsk(version, me.ip, me.port))
+    core = context.distribution
+
+    def receive(message: Any, now_s: float) -> None:
+        context.send_all(core.receive(message, now_s))
+
+    def spread() -> None:
+        context.send_all(core.tick(context.clock()))
 
     context.receivers[distribution.number] = receive
+    if core.on_view not in context.view_listeners:
+        context.view_listeners.append(core.on_view)
     return Supervisor(
         'settings',
-        [ChildSpec('asker', lambda: Ticker('asker', ASK_PERIOD_S, ask))],
+        [
+            ChildSpec(
+                'distribution',
+                lambda: Ticker('distribution', TICK_PERIOD_S, spread),
+            ),
+        ],
     )
--- /dev/null
+++ b/cumindrift/settings/transfer.py
@@ -0,0 +1,98 @@
+"""Transfers: packed snapshots cut into chunks and put together."""
+
+from attrs import define, field
+
+from cumindrift.address import Endpoint
+from cumindrift.settings.message import SnapshotChunk
+from cumindrift.settings.snapshot import DOCUMENT_BYTES_MAX, PackedSnapshot
+
+# With header, digest and seal a chunk fits one Ethernet frame.
+CHUNK_BYTES = 1200
+CHUNK_COUNT_MAX = DOCUMENT_BYTES_MAX // CHUNK_BYTES + 1
+WINDOW_CHUNKS = 64
+
+
+def chunk_count(packed: PackedSnapshot) -> int:
+    """Returns how many chunks carry a packed snapshot."""
+    return -(-len(packed.octets) // CHUNK_BYTES)
+
+
+def cut_chunk(
+    packed: PackedSnapshot,
+    number: int,
+    sender: Endpoint,
+) -> SnapshotChunk:
+    """Returns one chunk, counted from 0."""
+    start = number * CHUNK_BYTES
+    return SnapshotChunk(
+        sender,
+        packed.version,
+        packed.digest,
+        number,
+        chunk_count(packed),
+        packed.octets[start : start + CHUNK_BYTES],
+    )
+
+
+@define(slots=True)
+class Incoming:
+    """A snapshot of which chunks are still missing.
+
+    `sources` are the peers known to have it; `progress_s` is when the last
+    new chunk came or the last ask went out.
+    """
+
+    version: int
+    digest: bytes
+    chunk_count: int
+    progress_s: float
+    started_s: float
+    sources: list[Endpoint] = field(factory=list)
+    _chunks: dict[int, bytes] = field(factory=dict)
+    _asked: set[int] = field(factory=set)
+
+    def matches(self, chunk: SnapshotChunk) -> bool:
+        """Tells whether a chunk belongs to this transfer."""
+        return (
+            chunk.version == self.version
+            and chunk.digest == self.digest
+            and chunk.chunk_count == self.chunk_count
+        )
+
+    def add(self, chunk: SnapshotChunk, now_s: float) -> None:
+        """Takes a chunk; a repeated one changes nothing."""
+        if chunk.sender not in self.sources:
+            self.sources.append(chunk.sender)
+        self._asked.discard(chunk.number)
+        if chunk.number < self.chunk_count:
+            if chunk.number not in self._chunks:
+                self.progress_s = now_s
+            self._chunks.setdefault(chunk.number, chunk.body)
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether no chunk is missing."""
+        return len(self._chunks) == self.chunk_count
+
+    @property
+    def waits(self) -> bool:
+        """Whether chunks that were asked for are still to come."""
+        return bool(self._asked)
+
+    def ask(self, now_s: float) -> tuple[int, ...]:
+        """Returns the next missing numbers, and notes that they are asked."""
+        missing = [
+            number
+            for number in range(self.chunk_count)
+            if number not in self._chunks
+        ]
+        self._asked = set(missing[:WINDOW_CHUNKS])
+        self.progress_s = now_s
+        return tuple(missing[:WINDOW_CHUNKS])
+
+    def packed(self) -> PackedSnapshot:
+        """Returns the whole; only when no chunk is missing."""
+        octets = b''.join(
+            self._chunks[number] for number in range(self.chunk_count)
+        )
+        return PackedSnapshot(self.version, self.digest, octets)
--- a/features/builders/store.py
+++ b/features/builders/store.py
@@ -1,22 +1,17 @@
 """Builds an object store in memory, with the faults of the platform."""
 
-from random import Random
-
 from attrs import define, field
 
 from cumindrift.code import ResultCode
 from cumindrift.outcome import Done, NotRun, Refused, Unknown
-from cumindrift.platform.call import CallAction, StartCall
-from cumindrift.platform.client import StoreCore
-from cumindrift.platform.http import PlainAnswer, decode_answer, encode_call
 from cumindrift.platform.link import RemoteStore
-from cumindrift.platform.pace import Pace
 from cumindrift.platform.store import (
     ABSENT_VERSION,
     StoreCallback,
     StoredObject,
 )
 from lab.network import VirtualNetwork
+from lab.platform_fleet import client_of_model
 from standin.platform import PlatformModel
 
 
@@ -99,58 +94,16 @@
             watch[2](Done(current))
 
 
-@define(slots=True, eq=False)
+@define(frozen=True, slots=True)
 class StandInStore:
     """The real client's core before the stand-in's, in virtual time."""
 
-    network: VirtualNetwork
     model: PlatformModel
-    store: RemoteStore = field(init=False)
-
-    def __attrs_post_init__(self) -> None:
-        """Joins the two, without sockets."""
-        self.store = RemoteStore(
-            StoreCore(Pace(Random(self.network.random.random()))),
-            lambda: self.network.now_s,
-            self._perform,
-        )
-        self.network.every(
-            0.1,
-            lambda: self._perform(self.store.core.tick(self.network.now_s)),
-        )
-
-    def _perform(self, actions: list[CallAction]) -> None:
-        for action in actions:
-            if isinstance(action, StartCall):
-                self._start(action)
-
-    def _start(self, action: StartCall) -> None:
-        core = self.store.core
-        was_reached = not self.model.faults.is_down
-
-        def reply(answer: PlainAnswer | None) -> None:
-            now_s = self.network.now_s
-            if answer is None:
-                self._perform(
-                    core.on_failure(
-                        action.call_id,
-                        now_s,
-                        was_sent=was_reached,
-                    ),
-                )
-                return
-            decoded = decode_answer(action.call, answer)
-            self._perform(core.on_answer(action.call_id, decoded, now_s))
-
-        def arrive() -> None:
-            request = encode_call(action.call)
-            self.model.handle(request, self.network.now_s, reply)
-
-        self.network.at(self.network.now_s + 0.002, arrive)
+    store: RemoteStore
 
 
 def stand_in_store(network: VirtualNetwork) -> StandInStore:
     """Returns one client before a stand-in of its own."""
     model = PlatformModel()
     network.every(0.02, lambda: model.tick(network.now_s))
-    return StandInStore(network, model)
+    return StandInStore(model, client_of_model(network, model))
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -9,10 +9,10 @@
 from cumindrift.outcome import Done, NotRun, Refused
 from features.builders.store import (
     MemoryStore,
-    StandInStore,
     stand_in_store,
 )
 from lab.network import VirtualNetwork
+from lab.platform_fleet import client_of_model
 from standin.platform import PlatformFaults
 
 _FAULTS = {
@@ -127,7 +127,7 @@
     step_store(context, 'stand-in')
     step_fault(context, 'down')
     context.clients = [
-        StandInStore(context.network, context.model).store for _ in range(count)
+        client_of_model(context.network, context.model) for _ in range(count)
     ]
 
 
--- /dev/null
+++ b/lab/distribution.py
@@ -0,0 +1,177 @@
+"""Measures how fast settings spread, and what they cost each process."""
+
+import sys
+from time import process_time
+
+from absl import app, flags
+from attrs import define, field
+from loguru import logger
+from tabulate import tabulate
+
+from cumindrift.invariant import be_strict
+from cumindrift.keyring import DIGEST_BYTES
+from cumindrift.settings.message import distribution
+from cumindrift.wire import encode_frame
+from lab.platform_fleet import Fleet
+
+_MEMBERS = flags.DEFINE_list('members', ['50', '200', '800'], 'Fleet sizes.')
+_CHANGES = flags.DEFINE_integer('changes', 100, 'Changes for each size.')
+_LOSS = flags.DEFINE_float('loss', 0.1, 'Share of messages lost.')
+_SERVICES = flags.DEFINE_integer('services', 4, 'Services in the tree.')
+_SEED = flags.DEFINE_integer('seed', 1, 'Seed of the run.')
+
+# Times 0.5 to 1.5, so that changes meet the rounds at any phase.
+CHANGE_PERIOD_S = 10.0
+QUIET_S = 60.0
+UDP_IP_BYTES = 28
+WARM_UP_S = 15.0
+
+
+@define(slots=True)
+class Traffic:
+    """Octets on the wire, as the peer port would send them."""
+
+    octets: int = 0
+    messages: int = 0
+
+
+@define(frozen=True, slots=True)
+class Row:
+    """What one fleet came to."""
+
+    members: int
+    changes: int
+    missed: int
+    median_s: float
+    p999_s: float
+    max_s: float
+    went_down: int
+    quiet_bytes_s: float
+    change_bytes: float
+    quiet_cpu_percent: float
+    calls_s: float
+    quiet_calls_s: float
+    watches: int
+    feeders: int
+
+
+@define(frozen=True, slots=True)
+class Quiet:
+    """What a process costs while nothing changes."""
+
+    bytes_s: float
+    cpu_percent: float
+    calls_s: float
+
+
+@define(slots=True)
+class Change:
+    """How the changes reached the processes."""
+
+    delays_s: list[float] = field(factory=list)
+    missed_count: int = 0
+    went_down_count: int = 0
+
+    def delay_s(self, share: float) -> float:
+        """Returns the delay that this share of all stays within."""
+        return self.delays_s[int(len(self.delays_s) * share)]
+
+
+def measure_fleet(member_count: int) -> Row:
+    """Runs one fleet through a quiet minute and then all changes."""
+    fleet = Fleet(member_count, _SEED.value, _LOSS.value)
+    traffic = _count_octets(fleet)
+    fleet.write_settings(_SERVICES.value)
+    fleet.run(WARM_UP_S)
+    quiet = _measure_quiet(fleet, traffic)
+    calls = fleet.model.call_count
+    before = traffic.octets
+    started_s = fleet.network.now_s
+    change = _change(fleet)
+    spent_s = fleet.network.now_s - started_s
+    octets = (traffic.octets - before) / member_count
+    change.delays_s.sort()
+    return Row(
+        member_count,
+        _CHANGES.value,
+        change.missed_count,
+        change.delay_s(0.5),
+        change.delay_s(0.999),
+        change.delays_s[-1],
+        change.went_down_count,
+        quiet.bytes_s,
+        (octets - quiet.bytes_s * spent_s) / _CHANGES.value,
+        quiet.cpu_percent,
+        (fleet.model.call_count - calls) / spent_s,
+        quiet.calls_s,
+        fleet.model.watch_count,
+        len(fleet.feeders()),
+    )
+
+
+def _measure_quiet(fleet: Fleet, traffic: Traffic) -> Quiet:
+    calls = fleet.model.call_count
+    before = traffic.octets
+    started_s = process_time()
+    fleet.run(QUIET_S)
+    share = 1 / (QUIET_S * len(fleet.processes))
+    return Quiet(
+        (traffic.octets - before) * share,
+        (process_time() - started_s) * share * 100,
+        (fleet.model.call_count - calls) / QUIET_S,
+    )
+
+
+def _change(fleet: Fleet) -> Change:
+    """Makes all changes, each a while after the last."""
+    change = Change()
+    for _ in range(_CHANGES.value):
+        older = [process.version for process in fleet.processes]
+        written_s = fleet.network.now_s
+        version = fleet.write_settings(_SERVICES.value)
+        fleet.run(CHANGE_PERIOD_S * (0.5 + fleet.network.random.random()))
+        for process, old in zip(fleet.processes, older, strict=True):
+            change.went_down_count += process.version < old
+            taken_s = process.taken_s.get(version)
+            if taken_s is None:
+                change.missed_count += 1
+            else:
+                change.delays_s.append(taken_s - written_s)
+    return change
+
+
+def _count_octets(fleet: Fleet) -> Traffic:
+    """Counts what is sent, with seal and headers."""
+    traffic = Traffic()
+    send = fleet.network.send
+
+    def count_and_send(sender: object, peer: object, message: object) -> None:
+        frame = encode_frame(distribution, message)
+        traffic.octets += len(frame) + DIGEST_BYTES + UDP_IP_BYTES
+        traffic.messages += 1
+        send(sender, peer, message)
+
+    for process in fleet.processes:
+        process.send = count_and_send
+    return traffic
+
+
+def _run(_arguments: list[str]) -> int:
+    be_strict()
+    logger.remove()
+    rows = [measure_fleet(int(count)) for count in _MEMBERS.value]
+    names = [attribute.name for attribute in Row.__attrs_attrs__]
+    sys.stdout.write(
+        tabulate(
+            [[getattr(row, name) for name in names] for row in rows],
+            headers=names,
+            tablefmt='github',
+            floatfmt='.4g',
+        )
+        + '\n',
+    )
+    return 0
+
+
+if __name__ == '__main__':
+    app.run(_run)
--- /dev/null
+++ b/lab/platform_fleet.py
@@ -0,0 +1,250 @@
+"""Processes of a fleet, their platform and their network, in virtual time."""
+
+from collections.abc import Callable, Iterable
+from json import dumps
+from random import Random
+from typing import Any
+
+from attrs import define, field
+
+from cumindrift.address import Endpoint
+from cumindrift.document import unstructure
+from cumindrift.membership.member import Member
+from cumindrift.membership.view import View
+from cumindrift.platform.call import CallAction, StartCall
+from cumindrift.platform.client import StoreCore
+from cumindrift.platform.http import PlainAnswer, decode_answer, encode_call
+from cumindrift.platform.link import RemoteStore
+from cumindrift.platform.pace import Pace
+from cumindrift.settings.distribution import Distribution
+from cumindrift.settings.feeder import SETTINGS_KEY, Feeder
+from cumindrift.settings.snapshot import SnapshotStore, pack_snapshot
+from cumindrift.settings.tree import DataCentre, Service, Snapshot, Team, Tree
+from lab.network import VirtualNetwork
+from standin.platform import PlatformModel
+
+TICK_PERIOD_S = 0.1
+STORE_DELAY_S = 0.002
+PORT = 7100
+
+
+def fleet_tree(version: int, service_count: int = 4) -> Tree:
+    """Returns a tree that differs from version to version."""
+    services = {
+        f'service-{number}': Service(
+            f'10.{number // 65536 % 256}.{number // 256 % 256}.{number % 256}',
+            7000 + version % 1000,
+        )
+        for number in range(service_count)
+    }
+    places = {f'dc-{number}': DataCentre('region') for number in range(4)}
+    return Tree(places, {'team': Team(services)})
+
+
+def tree_document(tree: Tree) -> bytes:
+    """Returns a tree as the platform keeps it: plain JSON."""
+    return dumps(unstructure(tree)).encode()
+
+
+def client_of_model(
+    network: VirtualNetwork, model: PlatformModel
+) -> RemoteStore:
+    """Returns the real client's core before a stand-in's core."""
+    core = StoreCore(Pace(Random(network.random.random())))
+
+    def perform(actions: list[CallAction]) -> None:
+        for action in actions:
+            if isinstance(action, StartCall):
+                start(action)
+
+    def start(action: StartCall) -> None:
+        was_reached = not model.faults.is_down
+
+        def reply(answer: PlainAnswer | None) -> None:
+            now_s = network.now_s
+            if answer is None:
+                ended = core.on_failure(
+                    action.call_id,
+                    now_s,
+                    was_sent=was_reached,
+                )
+            else:
+                decoded = decode_answer(action.call, answer)
+                ended = core.on_answer(action.call_id, decoded, now_s)
+            perform(ended)
+
+        request = encode_call(action.call)
+        network.at(
+            network.now_s + STORE_DELAY_S,
+            lambda: model.handle(request, network.now_s, reply),
+        )
+
+    network.every(TICK_PERIOD_S, lambda: perform(core.tick(network.now_s)))
+    return RemoteStore(core, lambda: network.now_s, perform)
+
+
+@define(slots=True, eq=False)
+class FleetProcess:
+    """The cores of one process, without its sockets."""
+
+    me: Member
+    network: VirtualNetwork
+    store: RemoteStore | None
+    snapshots: SnapshotStore = field(init=False)
+    distribution: Distribution = field(init=False)
+    feeder: Feeder | None = None
+    view: View = field(factory=View)
+    merged: list[Member] = field(factory=list)
+    taken_s: dict[int, float] = field(factory=dict)
+    send: Callable[[Endpoint, Endpoint, Any], None] = field(init=False)
+    is_dead: bool = False
+    is_paused: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        """Builds the cores and starts their ticks."""
+        random = Random(self.network.random.random())
+        self.snapshots = SnapshotStore(self._on_snapshot)
+        self.distribution = Distribution(
+            self.me.endpoint,
+            (),
+            random,
+            self.snapshots,
+        )
+        if self.store is not None:
+            self.feeder = Feeder(
+                self.me,
+                self.store,
+                random,
+                self.distribution,
+                self._members,
+                self.merged.extend,
+            )
+        self.send = self.network.send
+        self.network.receivers[self.me.endpoint] = self._receive
+        self.network.every(TICK_PERIOD_S, self._tick)
+
+    def see(self, view: View) -> None:
+        """Takes a view of the members."""
+        self.view = view
+        self.distribution.on_view(view)
+
+    @property
+    def version(self) -> int:
+        """The version of the settings in force."""
+        return self.snapshots.snapshot.version
+
+    def _members(self) -> Iterable[Member]:
+        return self.view.members.values()
+
+    def _on_snapshot(self, snapshot: Snapshot) -> None:
+        self.taken_s[snapshot.version] = self.network.now_s
+
+    def _receive(self, message: Any, now_s: float) -> None:
+        if not self.is_dead and not self.is_paused:
+            self._send(self.distribution.receive(message, now_s))
+
+    def _tick(self) -> None:
+        if self.is_dead or self.is_paused:
+            return
+        self._send(self.distribution.tick(self.network.now_s))
+        if self.feeder is not None:
+            self.feeder.tick(self.network.now_s)
+
+    def _send(self, actions: list[Any]) -> None:
+        me = self.me.endpoint
+        for action in actions:
+            self.send(me, action.endpoint, action.message)
+
+
+@define(slots=True, eq=False)
+class Fleet:
+    """A whole fleet before one platform; `with_feeders` adds the clients."""
+
+    member_count: int
+    seed: int = 1
+    loss_share: float = 0.0
+    double_share: float = 0.0
+    data_centre_count: int = 4
+    with_feeders: bool = True
+    network: VirtualNetwork = field(init=False)
+    model: PlatformModel = field(factory=PlatformModel)
+    processes: list[FleetProcess] = field(factory=list)
+    _write_count: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Builds the processes, which all see each other."""
+        self.network = VirtualNetwork(
+            Random(self.seed),
+            loss_share=self.loss_share,
+            double_share=self.double_share,
+        )
+        self.network.every(
+            TICK_PERIOD_S / 5,
+            lambda: self.model.tick(self.network.now_s),
+        )
+        for _ in range(self.member_count):
+            self.join()
+        self.share_view()
+
+    def join(self) -> FleetProcess:
+        """Adds a process, which sees nobody yet."""
+        number = len(self.processes)
+        me = Member(
+            name=f'process-{number}',
+            role='agent',
+            region='region',
+            data_centre=f'dc-{number % self.data_centre_count}',
+            endpoint=Endpoint(f'10.0.{number // 250}.{number % 250}', PORT),
+            incarnation=1,
+        )
+        store = None
+        if self.with_feeders:
+            store = client_of_model(self.network, self.model)
+        process = FleetProcess(me, self.network, store)
+        self.processes.append(process)
+        return process
+
+    def share_view(self) -> None:
+        """Tells every process who is alive, as membership would."""
+        view = View(process.me for process in self.alive())
+        for process in self.alive():
+            process.see(view)
+
+    def alive(self) -> list[FleetProcess]:
+        """Returns the processes that were not killed."""
+        return [process for process in self.processes if not process.is_dead]
+
+    def feeders(self) -> list[FleetProcess]:
+        """Returns the processes that are on duty."""
+        return [
+            process
+            for process in self.alive()
+            if process.feeder is not None and process.feeder.is_on_duty
+        ]
+
+    def write_settings(self, service_count: int = 4) -> int:
+        """Stores the next version as another writer does, by a call."""
+        self._write_count += 1
+        version = self._write_count
+        body = tree_document(fleet_tree(version, service_count))
+        client_of_model(self.network, self.model).write(
+            SETTINGS_KEY,
+            body,
+            version - 1,
+            f'write-{version}',
+            lambda _outcome: None,
+        )
+        return version
+
+    def run(self, seconds: float) -> None:
+        """Lets virtual time pass."""
+        self.network.run(self.network.now_s + seconds)
+
+    def versions(self) -> set[int]:
+        """Returns all versions in force at the living."""
+        return {process.version for process in self.alive()}
+
+
+def packed_bytes(service_count: int) -> int:
+    """Returns the packed size of a tree with that many services."""
+    return len(pack_snapshot(Snapshot(1, fleet_tree(1, service_count))).octets)
