--- a/features/builders/store.py
+++ b/features/builders/store.py
@@ -12,7 +12,16 @@
 )
 from lab.network import VirtualNetwork
 from lab.platform_fleet import client_of_model
-from standin.platform import PlatformModel
+from standin.platform import PlatformFaults, PlatformModel
+
+FAULTS = {
+    'none': PlatformFaults(),
+    'down': PlatformFaults(is_down=True),
+    'slow': PlatformFaults(slow_s=2.0),
+    'stuck': PlatformFaults(slow_s=60.0),
+    'losing': PlatformFaults(loses_answers=True),
+    'garbling': PlatformFaults(garbles=True),
+}
 
 
 @define(slots=True, eq=False)
--- /dev/null
+++ b/features/distribution.feature
@@ -0,0 +1,116 @@
+Feature: An accepted snapshot is in force everywhere and never reverts
+  Scenario Outline: Pushes that are lost, doubled and late
+    Given a fleet of 40 that loses <loss>% and doubles <double>% of messages
+    When the fleet's settings are written 5 times, 8 s apart
+    Then the whole fleet runs version 5
+    And no process of the fleet took a version out of order
+
+    Examples:
+      | loss | double |
+      | 0    | 0      |
+      | 10   | 50     |
+      | 40   | 30     |
+
+  Scenario: A snapshot of many chunks comes through loss
+    Given a fleet of 20 that loses 30% and doubles 10% of messages
+    When settings of 3000 services are written to the fleet
+    And the fleet runs for 20 s
+    Then the snapshot of the fleet has more than 5 chunks
+    And the whole fleet runs version 1 with one digest
+
+  Scenario Outline: What is no newer whole snapshot changes nothing
+    Given a fleet of 4 that loses 0% and doubles 0% of messages
+    And the fleet has run for 10 s with version 3
+    When a process of the fleet gets <chunk>
+    Then that process still runs version 3
+    When the fleet's settings are written 1 times, 8 s apart
+    Then the whole fleet runs version 4
+
+    Examples:
+      | chunk                            |
+      | version 1, arriving late         |
+      | version 4 with a wrong digest    |
+      | version 4 that is no settings    |
+      | version 4 that is not compressed |
+      | version 4 with no chunks         |
+      | version 4 in too many chunks     |
+
+  Scenario: The platform is down for an hour and a process joins meanwhile
+    Given a fleet of 16 that loses 10% and doubles 0% of messages
+    And the fleet has run for 10 s with version 3
+    When the fleet's platform is down
+    And the fleet runs for 1800 s
+    And a process joins the fleet
+    And the fleet runs for 1800 s
+    Then the whole fleet runs version 3
+    When the fleet's platform is none
+    And the fleet's settings are written 1 times, 30 s apart
+    Then the whole fleet runs version 4
+
+  Scenario Outline: The platform fails right after a write
+    Given a fleet of 16 that loses 10% and doubles 0% of messages
+    And the fleet has run for 10 s with version 3
+    When a process of the fleet publishes version 4 which it stored
+    And the fleet's platform is <fault>
+    And the fleet runs for 6 s
+    Then the whole fleet runs version 4
+    And the hand-over of the fleet was confirmed by 3 peers or more
+
+    Examples:
+      | fault  |
+      | down   |
+      | stuck  |
+      | losing |
+
+  Scenario: A writer is paused between its write and the hand-over
+    Given a fleet of 16 that loses 10% and doubles 0% of messages
+    And the fleet has run for 10 s with version 3
+    When the writer of the fleet is paused after it stored version 4
+    And the fleet's settings are written 1 times, 8 s apart
+    And the paused writer of the fleet wakes and publishes version 4
+    And the fleet runs for 5 s
+    Then the whole fleet runs version 5
+    And no process of the fleet took a version out of order
+
+  Scenario: A hand-over that nobody confirms says so
+    Given a fleet of 8 that loses 100% and doubles 0% of messages
+    When a process of the fleet publishes version 1 which it stored
+    And the fleet runs for 3 s
+    Then the hand-over of the fleet was confirmed by 0 peers
+
+  Scenario: Half of the nodes are cut from the other half for five minutes
+    Given a fleet of 24 that loses 10% and doubles 0% of messages
+    And the fleet has run for 10 s with version 3
+    When half of the fleet is cut off
+    And the fleet's settings are written 2 times, 150 s apart
+    Then the fleet runs the versions 3 and 5
+    When the cut of the fleet ends
+    And the fleet runs for 20 s
+    Then the whole fleet runs version 5
+    And no process of the fleet took a version out of order
+
+  Scenario: Feeders die one after another
+    Given a fleet of 24 that loses 10% and doubles 0% of messages
+    And the fleet has run for 10 s with version 1
+    When 12 feeders of the fleet die one by one, with a write after each
+    Then the whole fleet runs version 13
+
+  Scenario: A survey finds who lags
+    Given a fleet of 30 that loses 0% and doubles 0% of messages
+    And the fleet has run for 10 s with version 2
+    When one process of the fleet is paused
+    And the fleet's settings are written 1 times, 8 s apart
+    And a process of the fleet makes a survey
+    And the fleet runs for 2 s
+    Then the survey of the fleet names all at version 3 but the paused one
+
+  Scenario Outline: Randomised faults lose nothing that was accepted
+    Given a fault run of the fleet with seed <seed>
+    When the fault run takes 60 steps and all faults end
+    Then the fault run accepted settings and holds them everywhere
+
+    Examples:
+      | seed |
+      | 11   |
+      | 12   |
+      | 13   |
--- /dev/null
+++ b/features/steps/fleet_steps.py
@@ -0,0 +1,361 @@
+"""Steps of the features of distribution, feeders and rosters."""
+
+from random import Random
+
+from attrs import evolve
+from behave import given, then, when
+
+from cumindrift.membership.member import MemberState
+from cumindrift.platform.roster import (
+    Roster,
+    decode_roster,
+    merge_members,
+    roster_key,
+)
+from cumindrift.settings.transfer import chunk_count
+from cumindrift.settings.tree import Snapshot
+from features.builders.fleet import KeeperDesk, chunk_like, member
+from features.builders.store import FAULTS
+from lab.network import VirtualNetwork
+from lab.platform_fleet import Fleet, fleet_tree, tree_document
+from lab.platform_run import fault_run
+
+
+@given(
+    'a fleet of {count:d} that loses {loss:d}% and doubles {double:d}%'
+    ' of messages',
+)
+def step_fleet(context, count, loss, double):
+    context.fleet = Fleet(count, 5, loss / 100, double / 100)
+
+
+@given('a fleet of {count:d} in {centres:d} data centres')
+def step_fleet_of_centres(context, count, centres):
+    context.fleet = Fleet(count, 5, data_centre_count=centres)
+
+
+@given('the fleet has run for {seconds:d} s with version {version:d}')
+@when('the fleet has run for {seconds:d} s with version {version:d}')
+def step_run_with(context, seconds, version):
+    for _ in range(version):
+        context.fleet.write_settings()
+        context.fleet.run(1)
+    context.fleet.run(seconds)
+    step_all_run(context, version)
+
+
+@when("the fleet's settings are written {times:d} times, {apart:d} s apart")
+def step_write(context, times, apart):
+    for _ in range(times):
+        context.fleet.write_settings()
+        context.fleet.run(apart)
+
+
+@when('settings of {services:d} services are written to the fleet')
+def step_write_large(context, services):
+    context.fleet.write_settings(services)
+
+
+@when('the fleet runs for {seconds:d} s')
+def step_run(context, seconds):
+    context.fleet.run(seconds)
+
+
+@when("the fleet's platform is {fault}")
+def step_fault(context, fault):
+    context.fleet.model.faults = FAULTS[fault]
+
+
+@when('a process of the fleet gets {chunk}')
+def step_chunk(context, chunk):
+    process = context.fleet.processes[0]
+    now_s = context.fleet.network.now_s
+    process.distribution.receive(chunk_like(chunk), now_s)
+
+
+@when('a process joins the fleet')
+def step_join(context):
+    context.fleet.join()
+    context.fleet.share_view()
+
+
+@when('{count:d} processes join the fleet one after another')
+def step_join_many(context, count):
+    context.newcomers = []
+    for _ in range(count):
+        context.newcomers.append(context.fleet.join())
+        # Membership takes a moment to tell a newcomer of the others.
+        context.fleet.run(1)
+        context.fleet.share_view()
+
+
+@when('a process of the fleet publishes version {version:d} which it stored')
+def step_publish(context, version):
+    context.handed = []
+    context.fleet.write_settings()
+    context.fleet.processes[0].distribution.publish(
+        Snapshot(version, fleet_tree(version)),
+        context.handed.append,
+    )
+    context.fleet.run(0.01)
+
+
+@when('the writer of the fleet is paused after it stored version {version:d}')
+def step_pause_writer(context, version):
+    context.fleet.processes[0].is_paused = True
+    context.fleet.write_settings()
+
+
+@when('the paused writer of the fleet wakes and publishes version {version:d}')
+def step_wake_writer(context, version):
+    writer = context.fleet.processes[0]
+    writer.is_paused = False
+    writer.distribution.publish(Snapshot(version, fleet_tree(version)))
+
+
+@when('half of the fleet is cut off')
+def step_cut(context):
+    context.fleet.cut({'dc-2', 'dc-3'})
+
+
+@when('the cut of the fleet ends')
+def step_heal(context):
+    context.fleet.heal()
+
+
+@when('{count:d} feeders of the fleet die one by one, with a write after each')
+def step_kill_feeders(context, count):
+    for _ in range(count):
+        context.fleet.feeders()[0].is_dead = True
+        context.fleet.share_view()
+        context.fleet.write_settings()
+        context.fleet.run(5)
+
+
+@when('one process of the fleet is paused')
+def step_pause(context):
+    context.fleet.processes[-1].is_paused = True
+
+
+@when('a process of the fleet makes a survey')
+def step_survey(context):
+    context.fleet.processes[0].distribution.survey()
+
+
+@then('the whole fleet runs version {version:d}')
+def step_all_run(context, version):
+    assert context.fleet.versions() == {version}, context.fleet.versions()
+
+
+@then('the whole fleet runs version {version:d} with one digest')
+def step_one_digest(context, version):
+    step_all_run(context, version)
+    digests = {
+        process.snapshots.packed.digest for process in context.fleet.alive()
+    }
+    assert len(digests) == 1, digests
+
+
+@then('the snapshot of the fleet has more than {count:d} chunks')
+def step_chunks(context, count):
+    found = chunk_count(context.fleet.processes[0].snapshots.packed)
+    assert found > count, found
+
+
+@then('the fleet runs the versions {first:d} and {second:d}')
+def step_two_versions(context, first, second):
+    assert context.fleet.versions() == {first, second}
+
+
+@then('that process still runs version {version:d}')
+def step_still(context, version):
+    assert context.fleet.processes[0].version == version
+
+
+@then('no process of the fleet took a version out of order')
+def step_in_order(context):
+    for process in context.fleet.processes:
+        taken = list(process.taken_s)
+        assert taken == sorted(taken), taken
+
+
+@then('the hand-over of the fleet was confirmed by {count:d} peers or more')
+def step_handed_more(context, count):
+    assert len(context.handed) == 1, context.handed
+    assert context.handed[0] >= count, context.handed
+
+
+@then('the hand-over of the fleet was confirmed by {count:d} peers')
+def step_handed(context, count):
+    assert context.handed == [count], context.handed
+
+
+@then(
+    'the survey of the fleet names all at version {version:d}'
+    ' but the paused one',
+)
+def step_surveyed(context, version):
+    asker = context.fleet.processes[0].distribution
+    found = asker.versions(context.fleet.network.now_s)
+    others = context.fleet.processes[1:]
+    current = {
+        process.me.endpoint
+        for process in others
+        if found.get(process.me.endpoint) == version
+    }
+    assert current == {one.me.endpoint for one in others[:-1]}, found
+
+
+@given('a fault run of the fleet with seed {seed:d}')
+def step_fault_run(context, seed):
+    context.run = fault_run(seed, 16, 0.1)
+
+
+@when('the fault run takes {count:d} steps and all faults end')
+def step_fault_steps(context, count):
+    for _ in range(count):
+        context.run.step()
+    for process in context.run.fleet.processes:
+        process.is_paused = False
+    context.run.finish()
+
+
+@then('the fault run accepted settings and holds them everywhere')
+def step_fault_held(context):
+    accepted = context.run.accepted_version
+    assert accepted > 0, context.run.counts
+    assert min(context.run.fleet.versions()) >= accepted
+
+
+@when('the calls of the fleet are counted over {seconds:d} s')
+def step_count_calls(context, seconds):
+    before = context.fleet.model.call_count
+    context.fleet.run(seconds)
+    context.call_count = context.fleet.model.call_count - before
+
+
+@then('the fleet has 2 feeders in each of {centres:d} data centres')
+def step_feeders(context, centres):
+    places = [one.me.data_centre for one in context.fleet.feeders()]
+    wanted = [f'dc-{number}' for number in range(centres)] * 2
+    assert sorted(places) == sorted(wanted), places
+
+
+@then('no other process of the fleet ever called the platform')
+def step_no_calls(context):
+    feeders = context.fleet.feeders()
+    others = [one for one in context.fleet.processes if one not in feeders]
+    assert not any(one.store.core.started_count for one in others)
+
+
+@then('the platform of the fleet saw at most {most:d} calls')
+def step_most_calls(context, most):
+    assert context.call_count <= most, context.call_count
+
+
+@then('at most {most:d} newcomers of the fleet called the platform')
+def step_newcomers(context, most):
+    callers = [one for one in context.newcomers if one.store.core.started_count]
+    assert len(callers) <= most, len(callers)
+
+
+@when('the platform of the fleet holds {body} as settings')
+def step_bad_settings(context, body):
+    context.fleet.replace_settings(body.encode())
+
+
+@when("the fleet's settings are written again over them")
+def step_over(context):
+    context.fleet.replace_settings(tree_document(fleet_tree(9)))
+
+
+@given('a roster keeper "{name}" of "{centre}" that sees {count:d} members')
+def step_keeper(context, name, centre, count):
+    if 'desk' not in context:
+        context.desk = KeeperDesk(VirtualNetwork(Random(3)))
+    seen = [member(number) for number in range(count)]
+    context.desk.add(name, centre, seen)
+
+
+@given('a stored roster of octets that nobody can read')
+def step_bad_roster(context):
+    context.desk = KeeperDesk(VirtualNetwork(Random(3)))
+    context.desk.put(roster_key('dc-0'), b'not a roster')
+
+
+@when('the roster keeper "{name}" sees {count:d} members')
+def step_keeper_sees(context, name, count):
+    context.desk.seen[name] = [member(number) for number in range(count)]
+
+
+@when('the roster keepers run for {seconds:d} s')
+def step_keepers_run(context, seconds):
+    network = context.desk.network
+    network.run(network.now_s + seconds)
+
+
+@when("the roster's platform is {fault} for {seconds:d} s")
+def step_roster_fault(context, fault, seconds):
+    context.desk.model.faults = FAULTS[fault]
+    step_keepers_run(context, seconds)
+
+
+@when('a member of the roster changes every second for {seconds:d} s')
+def step_roster_changes(context, seconds):
+    for revision in range(seconds):
+        context.desk.seen['one'][0] = member(0, revision=revision)
+        step_keepers_run(context, 1)
+
+
+@then('the stored roster names {count:d} members')
+def step_roster_names(context, count):
+    stored = context.desk.model.objects[roster_key('dc-0')]
+    members = decode_roster(stored.body).content.members
+    assert len(members) == count, members
+
+
+@then('the roster keeper "{name}" was told of {count:d} members')
+def step_told(context, name, count):
+    assert len(context.desk.told[name]) == count, context.desk.told
+
+
+@then('the roster was written at most {most:d} times')
+def step_written_most(context, most):
+    found = context.desk.model.objects[roster_key('dc-0')].version
+    assert found <= most, found
+
+
+@then('the roster was written at least {least:d} times')
+def step_written_least(context, least):
+    found = context.desk.model.objects[roster_key('dc-0')].version
+    assert found >= least, found
+
+
+@given(
+    'a stored roster whose member is at incarnation {inc:d}, revision {rev:d}',
+)
+def step_stored_member(context, inc, rev):
+    context.roster = Roster((member(0, incarnation=inc, revision=rev),))
+
+
+@when('it is merged with that member at {inc:d}, {rev:d}, {state}')
+def step_merge(context, inc, rev, state):
+    known = context.roster.members[0]
+    other = evolve(
+        known,
+        incarnation=inc,
+        revision=rev,
+        state=MemberState[state],
+    )
+    context.merged = merge_members(context.roster.members, (other,))
+    assert merge_members((other,), context.roster.members) == context.merged
+    again = merge_members(context.merged.members, (other,))
+    assert again == context.merged or state == 'LEFT', again
+
+
+@then('the merged roster holds {held}')
+def step_merged(context, held):
+    found = [
+        f'{one.incarnation}.{one.revision}' for one in context.merged.members
+    ]
+    assert found == ([] if held == 'none' else [held]), found
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -8,21 +8,12 @@
 from cumindrift.code import ResultCode
 from cumindrift.outcome import Done, NotRun, Refused
 from features.builders.store import (
+    FAULTS,
     MemoryStore,
     stand_in_store,
 )
 from lab.network import VirtualNetwork
 from lab.platform_fleet import client_of_model
-from standin.platform import PlatformFaults
-
-_FAULTS = {
-    'none': PlatformFaults(),
-    'down': PlatformFaults(is_down=True),
-    'slow': PlatformFaults(slow_s=2.0),
-    'stuck': PlatformFaults(slow_s=60.0),
-    'losing': PlatformFaults(loses_answers=True),
-    'garbling': PlatformFaults(garbles=True),
-}
 
 
 @given('the store "{kind}" of the platform')
@@ -46,7 +37,7 @@
 
 @when('the platform is {fault}')
 def step_fault(context, fault):
-    faults = _FAULTS[fault]
+    faults = FAULTS[fault]
     if isinstance(context.model, MemoryStore):
         context.model.is_down = faults.is_down
         context.model.loses_answers = faults.loses_answers
--- a/lab/platform_fleet.py
+++ b/lab/platform_fleet.py
@@ -1,6 +1,7 @@
 """Processes of a fleet, their platform and their network, in virtual time."""
 
 from collections.abc import Callable, Iterable
+from functools import partial
 from json import dumps
 from random import Random
 from typing import Any
@@ -11,7 +12,7 @@
 from cumindrift.document import unstructure
 from cumindrift.membership.member import Member
 from cumindrift.membership.view import View
-from cumindrift.platform.call import CallAction, StartCall
+from cumindrift.platform.call import Call, CallAction, CallKind, StartCall
 from cumindrift.platform.client import StoreCore
 from cumindrift.platform.http import PlainAnswer, decode_answer, encode_call
 from cumindrift.platform.link import RemoteStore
@@ -28,7 +29,11 @@
 PORT = 7100
 
 
-def fleet_tree(version: int, service_count: int = 4) -> Tree:
+def fleet_tree(
+    version: int,
+    service_count: int = 4,
+    data_centre_count: int = 4,
+) -> Tree:
     """Returns a tree that differs from version to version."""
     services = {
         f'service-{number}': Service(
@@ -37,7 +42,10 @@
         )
         for number in range(service_count)
     }
-    places = {f'dc-{number}': DataCentre('region') for number in range(4)}
+    places = {
+        f'dc-{number}': DataCentre('region')
+        for number in range(data_centre_count)
+    }
     return Tree(places, {'team': Team(services)})
 
 
@@ -46,41 +54,78 @@
     return dumps(unstructure(tree)).encode()
 
 
-def client_of_model(
-    network: VirtualNetwork, model: PlatformModel
-) -> RemoteStore:
-    """Returns the real client's core before a stand-in's core."""
-    core = StoreCore(Pace(Random(network.random.random())))
+@define(slots=True, eq=False)
+class ModelLink:
+    """Carries calls between a client's core and a stand-in's core."""
+
+    network: VirtualNetwork
+    model: PlatformModel
+    core: StoreCore
+    is_reachable: Callable[[], bool]
 
-    def perform(actions: list[CallAction]) -> None:
+    def perform(self, actions: list[CallAction]) -> None:
+        """Starts calls; a stopped one is ignored when it is answered."""
         for action in actions:
             if isinstance(action, StartCall):
-                start(action)
-
-    def start(action: StartCall) -> None:
-        was_reached = not model.faults.is_down
-
-        def reply(answer: PlainAnswer | None) -> None:
-            now_s = network.now_s
-            if answer is None:
-                ended = core.on_failure(
-                    action.call_id,
-                    now_s,
-                    was_sent=was_reached,
+                self.network.at(
+                    self.network.now_s + STORE_DELAY_S,
+                    partial(self._arrive, action),
                 )
-            else:
-                decoded = decode_answer(action.call, answer)
-                ended = core.on_answer(action.call_id, decoded, now_s)
-            perform(ended)
-
-        request = encode_call(action.call)
-        network.at(
-            network.now_s + STORE_DELAY_S,
-            lambda: model.handle(request, network.now_s, reply),
+
+    def tick(self) -> None:
+        """Moves the client on."""
+        self.perform(self.core.tick(self.network.now_s))
+
+    def _arrive(self, action: StartCall) -> None:
+        if self.is_reachable() and not self.model.faults.is_down:
+            self.model.handle(
+                encode_call(action.call),
+                self.network.now_s,
+                partial(self._answer, action),
+            )
+        else:
+            self._fail(action, was_sent=False)
+
+    def _answer(self, action: StartCall, answer: PlainAnswer | None) -> None:
+        if answer is None or not self.is_reachable():
+            self._fail(action, was_sent=True)
+            return
+        decoded = decode_answer(action.call, answer)
+        now_s = self.network.now_s
+        self.perform(self.core.on_answer(action.call_id, decoded, now_s))
+
+    def _fail(self, action: StartCall, *, was_sent: bool) -> None:
+        self.perform(
+            self.core.on_failure(
+                action.call_id,
+                self.network.now_s,
+                was_sent=was_sent,
+            ),
         )
 
-    network.every(TICK_PERIOD_S, lambda: perform(core.tick(network.now_s)))
-    return RemoteStore(core, lambda: network.now_s, perform)
+
+def client_of_model(
+    network: VirtualNetwork,
+    model: PlatformModel,
+    is_reachable: Callable[[], bool] = lambda: True,
+) -> RemoteStore:
+    """Returns the real client's core before a stand-in's core."""
+    core = StoreCore(Pace(Random(network.random.random())))
+    link = ModelLink(network, model, core, is_reachable)
+    network.every(TICK_PERIOD_S, link.tick)
+    return RemoteStore(core, lambda: network.now_s, link.perform)
+
+
+def put_body(
+    model: PlatformModel,
+    key: str,
+    body: bytes,
+    now_s: float,
+) -> None:
+    """Stores octets as the next version of an object, by a plain write."""
+    version = model.objects[key].version if key in model.objects else 0
+    call = Call(CallKind.WRITE, key, version, body, 'plain')
+    model.handle(encode_call(call), now_s, lambda _answer: None)
 
 
 @define(slots=True, eq=False)
@@ -169,6 +214,8 @@
     network: VirtualNetwork = field(init=False)
     model: PlatformModel = field(factory=PlatformModel)
     processes: list[FleetProcess] = field(factory=list)
+    # Data centres whose processes do not reach the platform.
+    cut_from_platform: set[str] = field(factory=set)
     _write_count: int = 0
 
     def __attrs_post_init__(self) -> None:
@@ -199,7 +246,11 @@
         )
         store = None
         if self.with_feeders:
-            store = client_of_model(self.network, self.model)
+            store = client_of_model(
+                self.network,
+                self.model,
+                lambda: me.data_centre not in self.cut_from_platform,
+            )
         process = FleetProcess(me, self.network, store)
         self.processes.append(process)
         return process
@@ -226,7 +277,9 @@
         """Stores the next version as another writer does, by a call."""
         self._write_count += 1
         version = self._write_count
-        body = tree_document(fleet_tree(version, service_count))
+        body = tree_document(
+            fleet_tree(version, service_count, self.data_centre_count),
+        )
         client_of_model(self.network, self.model).write(
             SETTINGS_KEY,
             body,
@@ -236,6 +289,28 @@
         )
         return version
 
+    def cut(self, data_centres: set[str]) -> None:
+        """Cuts some data centres from the others and from the platform."""
+        inside = {
+            process.me.endpoint
+            for process in self.processes
+            if process.me.data_centre in data_centres
+        }
+        self.cut_from_platform = data_centres
+        self.network.is_cut = lambda one, other: (
+            (one in inside) != (other in inside)
+        )
+
+    def heal(self) -> None:
+        """Ends all cuts."""
+        self.cut_from_platform = set()
+        self.network.is_cut = lambda _one, _other: False
+
+    def replace_settings(self, body: bytes) -> None:
+        """Stores any octets as the next version of the settings."""
+        self._write_count += 1
+        put_body(self.model, SETTINGS_KEY, body, self.network.now_s)
+
     def run(self, seconds: float) -> None:
         """Lets virtual time pass."""
         self.network.run(self.network.now_s + seconds)
