--- a/cumindrift/code.py
+++ b/cumindrift/code.py
@@ -34,12 +34,20 @@
     CANCELLED = 205, 'Not run: the caller cancelled it before it started.'
     BUDGET_SPENT = 206, 'Not run: the retry budget of the service is spent.'
     BAD_REQUEST = 207, 'Not run: the request could not be read.'
+    STOPPING = 208, 'Not run: the agent is stopping and takes no new work.'
+    TARGET_SHED = 209, 'Not run: the target refused it before running it.'
+    NOT_SENT = 210, 'Not run: the target could not be reached.'
 
     OUTCOME_UNKNOWN = 300, 'It may have run; nobody who could know is left.'
     OTHER_INCARNATION = 301, 'Unknown: the agent restarted since the open.'
     ID_EXPIRED = 302, 'Unknown: the id is older than the ledger remembers.'
     DEADLINE_PASSED = 303, 'Unknown: the time ended while it was running.'
     TARGET_FAILED = 304, 'Unknown: the target broke off while running it.'
+    ANSWER_DROPPED = 305, 'It ran, but its answer is no longer kept.'
+    FLOW_LOST = 306, 'Unknown: the agent asked does not hold the flow.'
+    CALLER_QUIET = 307, 'Unknown: stopped, the caller took no more parts.'
+
+    HANDOVER_PENDING = 308, 'Stored, but no peer has confirmed it yet.'
 
     SYNTAX = 400, 'The document cannot be parsed.'
     UNKNOWN_FIELD = 401, 'A field is not known at this place.'
@@ -50,6 +58,9 @@
     NO_TOKEN = 406, 'The token is missing or not known.'
     INCONSISTENT = 407, 'The document as a whole does not hold together.'
     NO_SUCH_PATH = 408, 'Nothing is stored under this path.'
+    TOO_LARGE = 409, 'The document or request is larger than allowed.'
+    VERSION_GONE = 410, 'The history does not reach back to this version.'
+    BAD_CALL = 411, 'The call to the administration API cannot be read.'
 
     PLATFORM_DOWN = 500, 'The platform does not answer.'
     PLATFORM_SLOW = 501, 'The platform did not answer in time.'
@@ -61,6 +72,7 @@
     SETTINGS_FILE = 600, 'The settings file cannot be used.'
     PORT_IN_USE = 601, 'An address of this process is taken or not its own.'
     RESTARTS_EXHAUSTED = 602, 'A child failed too often; the process stopped.'
+    SUPERSEDED = 603, 'A later process of the same name is a member.'
 
     PACKET_MALFORMED = 700, 'A packet from the fabric cannot be parsed.'
     PACKET_NO_SERVICE = 701, 'No service stands behind the address.'
@@ -70,4 +82,8 @@
     HOP_LIMIT = 705, 'A packet used up its hops.'
     SEND_BUFFER_FULL = 706, 'The kernel took no more datagrams.'
     WRONG_SERVICE = 707, 'A packet reached an agent of another service.'
-    SNAPSHOT_CORRUPT = 708, 'A snapshot has a wrong digest or content.'
+    SEARCH_UNSURE = 708, 'A search ended while views or an agent were fresh.'
+    OPEN_PENDING = 709, 'A repeated open while the first is being placed.'
+    SNAPSHOT_CORRUPT = 710, 'A snapshot has a wrong digest or content.'
+    MESSAGE_STALE = 711, 'A peer message is of an old incarnation or probe.'
+    MESSAGE_MISDIRECTED = 712, 'A peer message was meant for another process.'
--- /dev/null
+++ b/cumindrift/traffic/opening.py
@@ -0,0 +1,215 @@
+"""Opening flows: which target of the service takes a new one."""
+
+from random import Random
+
+from attrs import define, evolve, field
+
+from cumindrift.code import ResultCode
+from cumindrift.traffic.action import (
+    Action,
+    Deliver,
+    Drop,
+    Refuse,
+    SendMessage,
+)
+from cumindrift.traffic.flow import Flow, FlowTable
+from cumindrift.traffic.message import (
+    Candidate,
+    FlowHint,
+    LoadReport,
+    OpenSearch,
+)
+from cumindrift.traffic.placement import (
+    Choice,
+    LoadProbe,
+    Policy,
+    assign_lightest,
+)
+from cumindrift.traffic.record import RecordBook
+from cumindrift.traffic.viewpoint import RECORD_KEEPERS, Viewpoint
+
+OPEN_HOP_LIMIT = 24
+PENDING_OPEN_S = 0.5
+REPEATED_OPEN_S = 3.0
+PENDING_OPENS_MAX = 4096
+CONFIRM_WITHIN_S = 0.4
+
+
+@define(slots=True)
+class AwaitedOpen:
+    """An opening packet that waits for the flow's records to stand."""
+
+    packet: bytes
+    until_s: float
+
+
+@define(slots=True)
+class FlowOpener:
+    """Places new flows of one service; used by the finder.
+
+    The opening packet is delivered once the keepers have confirmed the
+    record, so that a flow is found from its first answer on.
+    """
+
+    point: Viewpoint
+    table: FlowTable
+    book: RecordBook
+    policy: Policy
+    probe: LoadProbe
+    random: Random = field(factory=Random)
+    opened_count: int = 0
+    _pending: dict[bytes, float] = field(factory=dict)
+    _awaited: dict[bytes, AwaitedOpen] = field(factory=dict)
+
+    def on_open(self, search: OpenSearch, now_s: float) -> list[Action]:
+        """Takes a flow that no agent holds, or passes its open along."""
+        if search.assigned:
+            return self._take_assigned(search, now_s)
+        if search.position:
+            return self._place(search, now_s)
+        asked_s = self._pending.get(search.route.flow_key)
+        if asked_s is not None and now_s - asked_s < PENDING_OPEN_S:
+            return [Drop(ResultCode.OPEN_PENDING)]
+        self._note_pending(search.route.flow_key, now_s)
+        if asked_s is not None and self._report().can_take:
+            # Asked before in vain: some agent on the way may be dead.
+            return self._take(search, now_s)
+        return self._place(search, now_s)
+
+    def on_confirmed(self, flow_key: bytes) -> list[Action]:
+        """Delivers the opening packet when all keepers have the record."""
+        flow = self.table.held.get(flow_key)
+        if flow_key not in self._awaited or flow is None:
+            return []
+        if self.book.is_owed(flow_key, flow):
+            return []
+        return [Deliver(flow_key, self._awaited.pop(flow_key).packet)]
+
+    def is_awaited(self, flow_key: bytes) -> bool:
+        """Tells whether a flow's opening packet is yet to be delivered."""
+        return flow_key in self._awaited
+
+    @property
+    def pending_count(self) -> int:
+        """Returns how many opens are being placed by others."""
+        return len(self._pending)
+
+    def forget(self, flow_key: bytes) -> None:
+        """Drops an opening packet whose flow is held elsewhere."""
+        self._awaited.pop(flow_key, None)
+
+    def forget_all(self) -> None:
+        """Drops all opens: the data centre was taken out."""
+        self._pending.clear()
+        self._awaited.clear()
+
+    def tick(self, now_s: float) -> list[Action]:
+        """Delivers what waited too long for a keeper that is not there."""
+        for key, asked_s in list(self._pending.items()):
+            if now_s - asked_s < REPEATED_OPEN_S:
+                break
+            self._pending.pop(key)
+        late = [
+            key
+            for key, awaited in self._awaited.items()
+            if awaited.until_s < now_s
+        ]
+        return [Deliver(key, self._awaited.pop(key).packet) for key in late]
+
+    def _report(self) -> LoadReport:
+        report = self.probe(len(self.table.held))
+        if self.point.is_out() or self.point.is_draining():
+            return evolve(report, can_take=False)
+        return report
+
+    def _note_pending(self, flow_key: bytes, now_s: float) -> None:
+        self._pending.pop(flow_key, None)
+        if len(self._pending) >= PENDING_OPENS_MAX:
+            self._pending.pop(next(iter(self._pending)))
+        self._pending[flow_key] = now_s
+
+    def _place(self, search: OpenSearch, now_s: float) -> list[Action]:
+        reports = (*search.reports, self._report())
+        left = len(search.route.candidates) - search.position - 1
+        decision = self.policy(reports, left, self.random)
+        grown = evolve(search, reports=reports)
+        if decision.choice is Choice.TAKE:
+            return self._take(grown, now_s)
+        if decision.choice is Choice.REFUSE:
+            return [Refuse(search.packet, ResultCode.NO_ROOM)]
+        if decision.choice is Choice.PASS:
+            following = search.route.candidates[search.position + 1]
+            return [self._pass_on(grown, following)]
+        return [self._assign(grown, decision.member_id)]
+
+    def _take_assigned(
+        self,
+        search: OpenSearch,
+        now_s: float,
+    ) -> list[Action]:
+        if self._report().can_take:
+            return self._take(search, now_s)
+        # Filled up since it reported: the next lightest is asked.
+        others = tuple(
+            other
+            for other in search.reports
+            if other.member_id != self.point.me.member_id
+        )
+        decision = assign_lightest(others)
+        if decision.choice is Choice.REFUSE:
+            return [Refuse(search.packet, ResultCode.NO_ROOM)]
+        return [
+            self._assign(evolve(search, reports=others), decision.member_id)
+        ]
+
+    def _assign(self, search: OpenSearch, member_id: int) -> Action:
+        chosen = next(
+            candidate
+            for candidate in search.route.candidates
+            if candidate.member_id == member_id
+        )
+        return self._pass_on(evolve(search, assigned=True), chosen)
+
+    def _pass_on(self, search: OpenSearch, following: Candidate) -> Action:
+        if search.hop_count >= OPEN_HOP_LIMIT:
+            return Drop(ResultCode.HOP_LIMIT)
+        onward = evolve(
+            search,
+            position=search.position + (not search.assigned),
+            hop_count=search.hop_count + 1,
+        )
+        return SendMessage(following.endpoint(), onward)
+
+    def _take(self, search: OpenSearch, now_s: float) -> list[Action]:
+        route = search.route
+        flow_key = route.flow_key
+        self.table.held[flow_key] = Flow(now_s, now_s)
+        self.table.records.pop(flow_key, None)
+        self.opened_count += 1
+        keepers = {
+            keeper.member_id: keeper
+            for keeper in (
+                *route.candidates[:RECORD_KEEPERS],
+                *self.point.keepers(flow_key),
+            )
+            if keeper != self.point.me and not self.point.has_left(keeper)
+        }
+        actions: list[Action] = [
+            self.book.tell(keeper, flow_key, now_s)
+            for keeper in keepers.values()
+        ]
+        if not actions:
+            return [Deliver(flow_key, search.packet)]
+        self._awaited[flow_key] = AwaitedOpen(
+            search.packet,
+            now_s + CONFIRM_WITHIN_S,
+        )
+        if route.candidates[0] != self.point.me:
+            hint = FlowHint(
+                route.service,
+                flow_key,
+                self.point.me,
+                held=True,
+            )
+            actions.append(SendMessage(route.balancer.endpoint(), hint))
+        return actions
