--- /dev/null
+++ b/cumindrift/administration/answer.py
@@ -0,0 +1,127 @@
+"""Requests and answers of the administration API, as its routes see them."""
+
+import json
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import parse_qs, unquote
+
+from attrs import define
+
+from cumindrift.code import ResultCode
+from cumindrift.outcome import NotRun, Outcome, Refused, Unknown
+from cumindrift.registry import Registry
+
+JSON_TYPE = 'application/json'
+_HUNDRED = 100
+_DIGITS_MAX = 15
+# HTTP status by hundred of the result code, and where one code differs.
+_STATUS_OF_HUNDRED = {1: 200, 2: 503, 3: 504, 4: 400, 5: 503}
+_STATUS_OF_CODE = {
+    ResultCode.HANDOVER_PENDING: 202,
+    ResultCode.VERSION_CONFLICT: 409,
+    ResultCode.NOT_YOURS: 403,
+    ResultCode.NO_TOKEN: 401,
+    ResultCode.NO_SUCH_PATH: 404,
+    ResultCode.TOO_LARGE: 413,
+    ResultCode.VERSION_GONE: 410,
+}
+
+
+def read_number(text: str) -> int | None:
+    """Returns a whole number of at most 15 digits, or None."""
+    if text.isascii() and text.isdecimal() and len(text) <= _DIGITS_MAX:
+        return int(text)
+    return None
+
+
+@define(frozen=True, slots=True)
+class HttpRequest:
+    """A whole request; `headers` has lower-case names."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes = b''
+
+    @property
+    def path(self) -> str:
+        """Returns the path without the query."""
+        return unquote(self.target.partition('?')[0])
+
+    @property
+    def route_name(self) -> str:
+        """Returns method and first segment, as in ``GET /settings``."""
+        segment = self.path.strip('/').partition('/')[0]
+        return f'{self.method} /{segment}'
+
+    @property
+    def rest(self) -> str:
+        """Returns the path below the route, as in ``/teams/studio``."""
+        return f'/{self.path.strip("/").partition("/")[2]}'
+
+    def number(self, name: str) -> int | None:
+        """Returns a whole number of the query, or None."""
+        found = parse_qs(self.target.partition('?')[2]).get(name, [''])
+        return read_number(found[0])
+
+
+@define(frozen=True, slots=True)
+class HttpAnswer:
+    """A whole answer."""
+
+    status: int
+    body: bytes
+    content_type: str = JSON_TYPE
+
+    @classmethod
+    def of_json(cls, status: int, bare: Any) -> 'HttpAnswer':
+        """Returns an answer that holds JSON."""
+        return cls(status, f'{json.dumps(bare)}\n'.encode())
+
+
+Reply = Callable[[HttpAnswer], None]
+
+
+@define(frozen=True, slots=True)
+class Later:
+    """Returned by a route that answers by callback, once."""
+
+    start: Callable[[Reply], None]
+
+
+# A route takes the context of the process and the request; its name is the
+# method and the first segment of the path, as in `GET /metrics`.
+Route = Callable[[Any, HttpRequest], HttpAnswer | Later]
+# Routes that every process serves, and those that only balancers do.
+routes: Registry[Route] = Registry('route')
+operator_routes: Registry[Route] = Registry('operator route')
+
+
+def status_of(code: ResultCode) -> int:
+    """Returns the HTTP status that goes with a result code."""
+    return _STATUS_OF_CODE.get(code) or _STATUS_OF_HUNDRED[code // _HUNDRED]
+
+
+def answer_done(code: ResultCode, **fields: Any) -> HttpAnswer:
+    """Returns an answer with the code and some fields of its own."""
+    bare = {'code': int(code), 'name': code.name, **fields}
+    return HttpAnswer.of_json(status_of(code), bare)
+
+
+def answer_refusal(
+    outcome: Outcome,
+    status: int | None = None,
+) -> HttpAnswer:
+    """Returns the answer for anything but `Done`."""
+    bare = {'code': int(outcome.code), 'name': outcome.code.name}
+    if isinstance(outcome, Refused):
+        bare['path'] = outcome.path
+    if isinstance(outcome, Refused | NotRun | Unknown):
+        bare['detail'] = outcome.detail or outcome.code.meaning
+    return HttpAnswer.of_json(status or status_of(outcome.code), bare)
+
+
+def no_such_page(path: str) -> HttpAnswer:
+    """Returns the answer for a path that no route serves."""
+    refused = Refused(ResultCode.NO_SUCH_PATH, path, 'no such page')
+    return answer_refusal(refused)
--- /dev/null
+++ b/cumindrift/administration/fact.py
@@ -0,0 +1,66 @@
+"""Facts of a deployment, gathered once for the pages that judge them."""
+
+from collections.abc import Iterable, Mapping
+
+from attrs import define
+
+from cumindrift.membership.member import CANDIDATE_STATES, Member, MemberState
+from cumindrift.membership.view import ServiceName
+from cumindrift.settings.tree import Snapshot, Tree
+
+
+@define(frozen=True, slots=True)
+class Facts:
+    """What one balancer knows at one moment.
+
+    `versions` holds the settings version that each member reported, by
+    name; `stored_version` is None when the platform was not reached.
+    """
+
+    version: int
+    tree: Tree
+    members: tuple[Member, ...]
+    targets: dict[ServiceName, tuple[Member, ...]]
+    versions: Mapping[str, int]
+    stored_version: int | None
+
+    @property
+    def newest_version(self) -> int:
+        """Returns the newest version that is known of."""
+        return max(self.version, self.stored_version or 0)
+
+    def candidates(self, name: ServiceName) -> list[Member]:
+        """Returns the targets that can take work in places that are in."""
+        out = self.tree.data_centres_out()
+        return [
+            member
+            for member in self.targets.get(name, ())
+            if member.state in CANDIDATE_STATES
+            and member.state != MemberState.DRAINING
+            and member.data_centre not in out
+        ]
+
+
+def gather_facts(
+    snapshot: Snapshot,
+    members: Iterable[Member],
+    versions: Mapping[str, int],
+    stored_version: int | None,
+) -> Facts:
+    """Indexes the members by service; one pass, whatever the size."""
+    alive = tuple(
+        member for member in members if member.state < MemberState.LEFT
+    )
+    targets: dict[ServiceName, list[Member]] = {}
+    for member in alive:
+        if member.service:
+            name = ServiceName(member.team, member.service)
+            targets.setdefault(name, []).append(member)
+    return Facts(
+        snapshot.version,
+        snapshot.tree,
+        alive,
+        {name: tuple(found) for name, found in targets.items()},
+        versions,
+        stored_version,
+    )
--- /dev/null
+++ b/cumindrift/administration/handover.py
@@ -0,0 +1,107 @@
+"""The handover report: does the deployment hold until the next shift?"""
+
+from collections import Counter
+from collections.abc import Callable, Iterator
+
+from attrs import define
+
+from cumindrift.administration.fact import Facts
+from cumindrift.membership.view import ServiceName
+from cumindrift.registry import Registry
+from cumindrift.settings.tree import Service
+
+_NAMES_SHOWN_MAX = 5
+
+
+@define(frozen=True, slots=True)
+class Finding:
+    """One answer of a handover check; `holds` False is to be acted on."""
+
+    check: str
+    subject: str
+    holds: bool
+    detail: str
+
+
+HandoverCheck = Callable[[Facts], Iterator[Finding]]
+# Checks are asked in the order of their names.
+handover_checks: Registry[HandoverCheck] = Registry('handover check')
+
+
+def judge_handover(facts: Facts) -> list[Finding]:
+    """Asks every check; what does not hold comes first."""
+    findings = [
+        finding for _, check in handover_checks for finding in check(facts)
+    ]
+    return sorted(findings, key=lambda finding: finding.holds)
+
+
+@handover_checks.register('in-force')
+def check_in_force(facts: Facts) -> Iterator[Finding]:
+    """Every member runs the newest version."""
+    newest = facts.newest_version
+    lagging = sorted(
+        member.name
+        for member in facts.members
+        if facts.versions.get(member.name, 0) < newest
+    )
+    detail = f'version {newest} is in force on {len(facts.members)} members'
+    if lagging:
+        shown = ', '.join(lagging[:_NAMES_SHOWN_MAX])
+        detail = f'{len(lagging)} members lack version {newest}: {shown}'
+    yield Finding('in-force', f'version {newest}', not lagging, detail)
+
+
+@handover_checks.register('platform')
+def check_platform(facts: Facts) -> Iterator[Finding]:
+    """The platform answers; without it, what is in force stays so."""
+    is_reached = facts.stored_version is not None
+    detail = 'reachable'
+    if not is_reached:
+        detail = 'not reachable: settings stay in force, none can be written'
+    yield Finding('platform', 'store', is_reached, detail)
+
+
+@handover_checks.register('planned')
+def check_planned(facts: Facts) -> Iterator[Finding]:
+    """The targets that were planned for each data centre are there."""
+    for name, service in _services(facts):
+        found = Counter(member.data_centre for member in facts.candidates(name))
+        for place, planned in service.endpoints.items():
+            if facts.tree.data_centres[place].state == 'in':
+                yield Finding(
+                    'planned',
+                    f'{name} in {place}',
+                    found[place] >= planned,
+                    f'{found[place]} of {planned} targets',
+                )
+
+
+@handover_checks.register('data-centre-lost')
+def check_data_centre_lost(facts: Facts) -> Iterator[Finding]:
+    """Each service goes on with any one data centre gone."""
+    places = sorted(
+        name
+        for name, place in facts.tree.data_centres.items()
+        if place.state == 'in'
+    )
+    for name, service in _services(facts):
+        found = Counter(member.data_centre for member in facts.candidates(name))
+        for lost in places:
+            left = found.total() - found[lost]
+            yield _judge_loss(service, f'{name} without {lost}', left)
+
+
+def _judge_loss(service: Service, subject: str, left: int) -> Finding:
+    slots = left * service.slots
+    detail = f'{left} targets with {slots} slots remain'
+    holds = left > 0 and slots >= service.peak_slots
+    if service.peak_slots:
+        detail = f'{detail}, {service.peak_slots} needed'
+    return Finding('data-centre-lost', subject, holds, detail)
+
+
+def _services(facts: Facts) -> Iterator[tuple[ServiceName, Service]]:
+    for team_name, team in facts.tree.teams.items():
+        for name, service in team.services.items():
+            yield ServiceName(team_name, name), service
--- a/cumindrift/administration/page.py
+++ b/cumindrift/administration/page.py
@@ -2,7 +2,7 @@
 
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
-from cumindrift.administration.http import HttpAnswer, HttpRequest, routes
+from cumindrift.administration.answer import HttpAnswer, HttpRequest, routes
 from cumindrift.context import Context
 
 
--- a/cumindrift/context.py
+++ b/cumindrift/context.py
@@ -12,9 +12,11 @@
 from cumindrift.membership.gossip import MembershipCore
 from cumindrift.membership.member import Member, MemberState
 from cumindrift.membership.view import View
+from cumindrift.platform.store import ObjectStore
 from cumindrift.settings.process import ProcessSettings
 from cumindrift.settings.snapshot import SnapshotStore
 from cumindrift.settings.tree import Snapshot
+from cumindrift.settings.writer import Publisher
 from cumindrift.traffic.frame import SteeredCodec
 from cumindrift.wire import encode_frame, families
 
@@ -47,6 +49,8 @@
     # Asked once a tick during a graceful stop until each answers True.
     stop_steps: list[Callable[[float], bool]] = field(factory=list)
     is_stopping: bool = False
+    store: ObjectStore | None = None
+    publisher: Publisher | None = None
     membership: MembershipCore = field(init=False)
     snapshots: SnapshotStore = field(init=False)
 
--- a/cumindrift/settings/process.py
+++ b/cumindrift/settings/process.py
@@ -9,6 +9,7 @@
 from cumindrift.code import ResultCode
 from cumindrift.document import parse_document
 from cumindrift.outcome import Done, Refused
+from cumindrift.settings.token import TokenSettings
 
 _KEY_BYTES_MIN = 16
 _KEY_BYTES_MAX = 64
@@ -72,6 +73,7 @@
         validator=validators.deep_iterable(_check_address),
     )
     platform: str = field(default='', validator=_check_optional)
+    tokens: tuple[TokenSettings, ...] = ()
     target: TargetSettings | None = None
     log_format: str = field(
         default='text',
--- a/cumindrift/settings/writer.py
+++ b/cumindrift/settings/writer.py
@@ -1,6 +1,6 @@
 """The settings writer: stores accepted changes and hands them to peers."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from time import time
 from typing import Protocol
 
@@ -41,6 +41,9 @@
         did not in time.
         """
 
+    def versions(self) -> Mapping[str, int]:
+        """Returns the version that each member reported, by name."""
+
 
 @define(frozen=True, slots=True)
 class WriteResult:
--- a/features/builders/settings.py
+++ b/features/builders/settings.py
@@ -6,7 +6,8 @@
 from attrs import define, field
 
 from cumindrift.administration import check as _check
-from cumindrift.outcome import Outcome
+from cumindrift.code import ResultCode
+from cumindrift.outcome import NotRun, Outcome, Unknown
 from cumindrift.settings.edit import WriteRequest
 from cumindrift.settings.path import ABSENT, parse_path
 from cumindrift.settings.token import Author
@@ -48,6 +49,11 @@
 
     has_peers: bool = True
     published: list[Snapshot] = field(factory=list)
+    reported: dict[str, int] = field(factory=dict)
+
+    def versions(self) -> dict[str, int]:
+        """Returns what the test says that members reported."""
+        return self.reported
 
     def publish(
         self,
@@ -65,6 +71,9 @@
 
     holds_writes: bool = False
     answers_lost_count: int = 0
+    # Writes that are lost before they take effect; none is taken after them.
+    writes_lost_count: int = 0
+    read_only: bool = False
     held: list[tuple[Any, ...]] = field(factory=list)
 
     def write(self, *arguments: Any) -> None:
@@ -72,6 +81,14 @@
         if self.holds_writes:
             self.held.append(arguments)
             return
+        if self.writes_lost_count > 0:
+            self.writes_lost_count -= 1
+            self.read_only = True
+            arguments[-1](Unknown(ResultCode.PLATFORM_ANSWER_LOST))
+            return
+        if self.read_only:
+            arguments[-1](NotRun(ResultCode.PLATFORM_DOWN))
+            return
         self.loses_answers = self.answers_lost_count > 0
         self.answers_lost_count -= 1
         super().write(*arguments)
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -54,6 +54,7 @@
       | a writer is paused while another sets another field     | 101  | 3       | 3         |
       | the answer is lost after the write took effect          | 101  | 2       | 2         |
       | every answer is lost and the store goes down            | 503  | 2       | 1         |
+      | a write is lost on its way and the next one not taken   | 503  | 1       | 1         |
       | the same write is repeated after its answer was lost    | 103  | 2       | 2         |
       | the platform is down                                    | 500  | 1       | 1         |
       | no peer confirms the snapshot                           | 305  | 2       | 2         |
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -168,6 +168,12 @@
         self.read = read
 
 
+@when('settings race: a write is lost on its way and the next one not taken')
+def step_lost_early(context):
+    context.bench.store.writes_lost_count = 1
+    context.outcome = context.bench.write('w', STATE, 'out')
+
+
 @when('settings race: the same write is repeated after its answer was lost')
 def step_repeat(context):
     step_lost_down(context)
