--- a/cumindrift/administration/answer.py
+++ b/cumindrift/administration/answer.py
@@ -79,14 +79,20 @@
         return cls(status, f'{json.dumps(bare)}\n'.encode())
 
 
-Reply = Callable[[HttpAnswer], None]
+@define(frozen=True, slots=True)
+class Responder:
+    """What a route that answers later is given."""
+
+    reply: Callable[[HttpAnswer], None]
+    # Calls something once, after so many seconds.
+    call_after: Callable[[float, Callable[[], None]], None]
 
 
 @define(frozen=True, slots=True)
 class Later:
     """Returned by a route that answers by callback, once."""
 
-    start: Callable[[Reply], None]
+    start: Callable[[Responder], None]
 
 
 # A route takes the context of the process and the request; its name is the
--- a/cumindrift/administration/fact.py
+++ b/cumindrift/administration/fact.py
@@ -4,6 +4,7 @@
 
 from attrs import define
 
+from cumindrift.address import Endpoint
 from cumindrift.membership.member import CANDIDATE_STATES, Member, MemberState
 from cumindrift.membership.view import ServiceName
 from cumindrift.settings.tree import Snapshot, Tree
@@ -13,15 +14,15 @@
 class Facts:
     """What one balancer knows at one moment.
 
-    `versions` holds the settings version that each member reported, by
-    name; `stored_version` is None when the platform was not reached.
+    `versions` holds the settings version that each member reported;
+    `stored_version` is None when the platform was not reached.
     """
 
     version: int
     tree: Tree
     members: tuple[Member, ...]
     targets: dict[ServiceName, tuple[Member, ...]]
-    versions: Mapping[str, int]
+    versions: Mapping[Endpoint, int]
     stored_version: int | None
 
     @property
@@ -29,6 +30,15 @@
         """Returns the newest version that is known of."""
         return max(self.version, self.stored_version or 0)
 
+    def lagging(self) -> list[Member]:
+        """Returns the members not known to run the newest version."""
+        newest = self.newest_version
+        return [
+            member
+            for member in self.members
+            if self.versions.get(member.endpoint, 0) < newest
+        ]
+
     def candidates(self, name: ServiceName) -> list[Member]:
         """Returns the targets that can take work in places that are in."""
         out = self.tree.data_centres_out()
@@ -44,7 +54,7 @@
 def gather_facts(
     snapshot: Snapshot,
     members: Iterable[Member],
-    versions: Mapping[str, int],
+    versions: Mapping[Endpoint, int],
     stored_version: int | None,
 ) -> Facts:
     """Indexes the members by service; one pass, whatever the size."""
--- a/cumindrift/administration/handover.py
+++ b/cumindrift/administration/handover.py
@@ -40,11 +40,7 @@
 def check_in_force(facts: Facts) -> Iterator[Finding]:
     """Every member runs the newest version."""
     newest = facts.newest_version
-    lagging = sorted(
-        member.name
-        for member in facts.members
-        if facts.versions.get(member.name, 0) < newest
-    )
+    lagging = sorted(member.name for member in facts.lagging())
     detail = f'version {newest} is in force on {len(facts.members)} members'
     if lagging:
         shown = ', '.join(lagging[:_NAMES_SHOWN_MAX])
--- a/cumindrift/administration/http.py
+++ b/cumindrift/administration/http.py
@@ -5,7 +5,7 @@
 
 import h11
 from attrs import define, field
-from circuits import handler
+from circuits import Event, Timer, handler
 from circuits.net.events import close, write
 from circuits.net.sockets import TCPServer
 
@@ -14,6 +14,7 @@
     HttpAnswer,
     HttpRequest,
     Later,
+    Responder,
     Route,
     answer_refusal,
     no_such_page,
@@ -36,6 +37,10 @@
 _HTTP_TOO_LARGE = 413
 
 
+class due(Event):  # noqa: N801 - circuits derives event names from classes
+    """Fired when the wait of a route is over."""
+
+
 @define(slots=True, eq=False)
 class _Exchange:
     """One connection: its request so far, and whether it is answered."""
@@ -163,10 +168,22 @@
         else:
             found = no_such_page(request.path)
         if isinstance(found, Later):
-            found.start(lambda answer: self._answer(exchange, answer))
+            found.start(
+                Responder(
+                    lambda answer: self._answer(exchange, answer),
+                    self._call_after,
+                ),
+            )
         else:
             self._answer(exchange, found)
 
+    def _call_after(self, delay_s: float, call: Callable[[], None]) -> None:
+        Timer(delay_s, due(call), self.channel).register(self)
+
+    @handler('due')
+    def _on_due(self, call: Callable[[], None]) -> None:
+        call()
+
     def _answer(self, exchange: _Exchange, answer: HttpAnswer) -> None:
         if exchange.is_answered or exchange.sock not in self._exchanges:
             return
--- a/cumindrift/administration/settings.py
+++ b/cumindrift/administration/settings.py
@@ -9,7 +9,7 @@
     HttpAnswer,
     HttpRequest,
     Later,
-    Reply,
+    Responder,
     answer_done,
     answer_refusal,
     operator_routes,
@@ -149,7 +149,7 @@
 
 def writer_of(context: Context) -> SettingsWriter | None:
     """Returns a writer, unless the process knows no platform."""
-    if context.store is None or context.publisher is None:
+    if context.publisher is None:
         return None
     return SettingsWriter(context.store, context.publisher)
 
@@ -168,9 +168,9 @@
     if writer is None:
         return no_platform()
 
-    def start(reply: Reply) -> None:
+    def start(responder: Responder) -> None:
         writer.read_record(
-            lambda outcome: reply(
+            lambda outcome: responder.reply(
                 make_answer(outcome.content)
                 if isinstance(outcome, Done)
                 else answer_refusal(outcome),
@@ -187,9 +187,9 @@
     if writer is None:
         return no_platform()
     return Later(
-        lambda reply: writer.write(
+        lambda responder: writer.write(
             read.content,
-            lambda outcome: reply(_answer_write(outcome)),
+            lambda outcome: responder.reply(_answer_write(outcome)),
         ),
     )
 
--- a/cumindrift/administration/view.py
+++ b/cumindrift/administration/view.py
@@ -8,23 +8,27 @@
     HttpAnswer,
     HttpRequest,
     Later,
-    Reply,
+    Responder,
     answer_done,
     answer_refusal,
     operator_routes,
 )
 from cumindrift.administration.fact import Facts, gather_facts
-from cumindrift.administration.handover import Finding, judge_handover
-from cumindrift.administration.settings import writer_of
+from cumindrift.administration.handover import judge_handover
+from cumindrift.administration.settings import no_platform, writer_of
 from cumindrift.code import ResultCode
 from cumindrift.context import Context
 from cumindrift.membership.member import MemberState
 from cumindrift.membership.view import ServiceName
-from cumindrift.outcome import Done, NotRun, Outcome, Refused
+from cumindrift.outcome import Done, Outcome, Refused
 from cumindrift.settings.record import Record
 from cumindrift.settings.tree import Service
 
 _FINDINGS_MAX = 200
+# How long a handover report waits for members that have not reported.
+SURVEY_WAIT_S = 0.5
+SURVEYED_EACH_S = 1000
+SURVEY_WAIT_MAX_S = 30.0
 
 
 @operator_routes.register('GET /teams')
@@ -96,41 +100,59 @@
     """Tells whether the deployment holds unattended, and what would not."""
     writer = writer_of(context)
     if writer is None:
-        absent = NotRun(ResultCode.PLATFORM_DOWN)
-        return _answer_handover(context, absent)
-
-    def start(reply: Reply) -> None:
-        writer.read_record(
-            lambda outcome: reply(_answer_handover(context, outcome)),
-        )
+        return no_platform()
+    return Later(
+        lambda responder: writer.read_record(
+            lambda outcome: _survey_and_answer(context, responder, outcome),
+        ),
+    )
 
-    return Later(start)
 
+def _survey_and_answer(
+    context: Context,
+    responder: Responder,
+    outcome: Outcome,
+) -> None:
+    """Answers at once when every member is known to be up to date.
 
-def _answer_handover(context: Context, outcome: Outcome) -> HttpAnswer:
+    Else all are asked for their versions, and the answer waits for them.
+    """
     stored_version = None
     if isinstance(outcome, Done):
         record: Record = outcome.content
         stored_version = record.version
     facts = _facts(context, stored_version)
+    if not facts.lagging():
+        responder.reply(_answer_handover(facts))
+        return
+    context.publisher.survey()
+    wait_s = SURVEY_WAIT_S + len(facts.members) / SURVEYED_EACH_S
+    responder.call_after(
+        min(wait_s, SURVEY_WAIT_MAX_S),
+        lambda: responder.reply(
+            _answer_handover(_facts(context, stored_version)),
+        ),
+    )
+
+
+def _answer_handover(facts: Facts) -> HttpAnswer:
     findings = judge_handover(facts)
     return answer_done(
         ResultCode.DONE,
         version=facts.version,
-        stored_version=stored_version,
+        stored_version=facts.stored_version,
         holds=all(finding.holds for finding in findings),
-        findings=[_bare_finding(each) for each in findings[:_FINDINGS_MAX]],
+        findings=[asdict(finding) for finding in findings[:_FINDINGS_MAX]],
     )
 
 
-def _bare_finding(finding: Finding) -> dict[str, Any]:
-    return asdict(finding)
-
-
 def _facts(context: Context, stored_version: int | None = None) -> Facts:
-    versions = context.publisher.versions() if context.publisher else {}
+    snapshot = context.snapshots.snapshot
+    versions = {context.me.endpoint: snapshot.version}
+    if context.publisher is not None:
+        versions.update(context.publisher.versions(context.clock()))
     return gather_facts(
-        context.snapshots.snapshot,
+        snapshot,
         context.membership.view.members.values(),
         versions,
         stored_version,
--- a/cumindrift/code.py
+++ b/cumindrift/code.py
@@ -34,14 +34,19 @@
     CANCELLED = 205, 'Not run: the caller cancelled it before it started.'
     BUDGET_SPENT = 206, 'Not run: the retry budget of the service is spent.'
     BAD_REQUEST = 207, 'Not run: the request could not be read.'
+    STOPPING = 208, 'Not run: the agent is stopping and takes no new work.'
+    TARGET_SHED = 209, 'Not run: the target refused it before running it.'
+    NOT_SENT = 210, 'Not run: the target could not be reached.'
 
     OUTCOME_UNKNOWN = 300, 'It may have run; nobody who could know is left.'
     OTHER_INCARNATION = 301, 'Unknown: the agent restarted since the open.'
     ID_EXPIRED = 302, 'Unknown: the id is older than the ledger remembers.'
     DEADLINE_PASSED = 303, 'Unknown: the time ended while it was running.'
     TARGET_FAILED = 304, 'Unknown: the target broke off while running it.'
-
-    HANDOVER_PENDING = 305, 'Stored, but no peer has confirmed it yet.'
+    ANSWER_DROPPED = 305, 'It ran, but its answer is no longer kept.'
+    FLOW_LOST = 306, 'Unknown: the agent asked does not hold the flow.'
+    CALLER_QUIET = 307, 'Unknown: stopped, the caller took no more parts.'
+    HANDOVER_PENDING = 308, 'Stored, but no peer has confirmed it yet.'
 
     SYNTAX = 400, 'The document cannot be parsed.'
     UNKNOWN_FIELD = 401, 'A field is not known at this place.'
@@ -61,6 +66,7 @@
     PLATFORM_CONFLICT = 502, 'The conditional update met another version.'
     PLATFORM_ANSWER_LOST = 503, 'The write may have taken effect.'
     PLATFORM_MALFORMED = 504, 'The platform answered what cannot be read.'
+    PLATFORM_BUDGET = 505, 'Not run: too many platform calls are waiting.'
 
     SETTINGS_FILE = 600, 'The settings file cannot be used.'
     PORT_IN_USE = 601, 'An address of this process is taken or not its own.'
@@ -74,3 +80,6 @@
     HOP_LIMIT = 705, 'A packet used up its hops.'
     SEND_BUFFER_FULL = 706, 'The kernel took no more datagrams.'
     WRONG_SERVICE = 707, 'A packet reached an agent of another service.'
+    SEARCH_UNSURE = 708, 'A search ended while views or an agent were fresh.'
+    OPEN_PENDING = 709, 'A repeated open while the first is being placed.'
+    SNAPSHOT_CORRUPT = 710, 'A snapshot has a wrong digest or content.'
--- a/cumindrift/document.py
+++ b/cumindrift/document.py
@@ -99,15 +99,15 @@
         return Refused(code, '$', str(error))
 
 
-def parse_strict(octets: bytes) -> Done | Refused:
+def parse_strict(text: str | bytes) -> Done | Refused:
     """Parses plain JSON, as programs write it; duplicate keys are refused.
 
-    Far faster than `parse_text`, which takes seconds for a hundred
-    kilobytes: what arrives over a network is read by this one. Returns the
-    bare objects, or codes 400 and 403.
+    A thousand times faster than `parse_text`, so this is the one to use in
+    the loop of a process that serves. Returns the bare objects, or codes
+    400 and 403.
     """
     try:
-        return Done(json.loads(octets, object_pairs_hook=_unique_pairs))
+        return Done(json.loads(text, object_pairs_hook=_unique_pairs))
     except _DuplicateKeyError as error:
         return Refused(ResultCode.DUPLICATE_KEY, '$', str(error))
     except (ValueError, RecursionError) as error:
@@ -143,6 +143,16 @@
     return structure(parsed.content, shape)
 
 
+def parse_strict_document(
+    text: str | bytes, shape: type[Shape]
+) -> Done | Refused:
+    """Parses plain JSON and structures it; see `parse_strict`."""
+    parsed = parse_strict(text)
+    if isinstance(parsed, Refused):
+        return parsed
+    return structure(parsed.content, shape)
+
+
 def _describe(error: BaseException, _kind: type | None) -> str:
     """Words one fault; attrs validators name the field as an argument."""
     if isinstance(error, ForbiddenExtraKeysError):
--- a/cumindrift/settings/writer.py
+++ b/cumindrift/settings/writer.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 from loguru import logger
 
+from cumindrift.address import Endpoint
 from cumindrift.code import ResultCode
 from cumindrift.invariant import require
 from cumindrift.outcome import Done, NotRun, Outcome, Refused, Unknown
@@ -23,6 +24,8 @@
 SETTINGS_KEY = 'settings'
 # Reads that one write may spend on races and lost answers.
 ROUNDS_MAX = 6
+# A change is accepted once so many peers confirmed it.
+HANDED_COUNT_MIN = 1
 
 WriteCallback = Callable[[Outcome], None]
 
@@ -33,16 +36,20 @@
     def publish(
         self,
         snapshot: Snapshot,
-        on_handed: Callable[[bool], None],
-    ) -> None:
+        on_handed: Callable[[int], None],
+    ) -> bool:
         """Puts a snapshot in force here and hands it to a few peers.
 
-        Answers once: True when enough peers confirmed it, False when they
-        did not in time.
+        `on_handed` is called once, with the number of peers that confirmed
+        this version or a newer one in time. Returns False when it is not
+        newer than what is in force.
         """
 
-    def versions(self) -> Mapping[str, int]:
-        """Returns the version that each member reported, by name."""
+    def versions(self, now_s: float) -> Mapping[Endpoint, int]:
+        """Returns the versions that peers reported lately."""
+
+    def survey(self) -> None:
+        """Starts to ask every peer for its version."""
 
 
 @define(frozen=True, slots=True)
@@ -70,8 +77,8 @@
         """Carries one write to its end; answers once.
 
         `Done` holds a `WriteResult` with code 101, or 103 when nothing was
-        left to do. Codes 4xx and 500 to 502 tell that nothing changed, 305
-        and 503 that the write is to be repeated with the same id.
+        left to do. `Refused` and `NotRun` tell that nothing changed,
+        `Unknown` that the write is to be repeated with the same id.
         """
         refused = check_owner(request)
         if refused is not None:
@@ -226,16 +233,16 @@
         """Hands the newest snapshot to peers, then answers."""
         self.writer.publisher.publish(
             Snapshot(record.version, record.tree),
-            lambda is_handed: self._on_handed(version, code, is_handed),
+            lambda count: self._on_handed(version, code, count),
         )
 
     def _on_handed(
         self,
         version: int,
         code: ResultCode,
-        is_handed: bool,
+        peer_count: int,
     ) -> None:
-        if is_handed:
+        if peer_count >= HANDED_COUNT_MIN:
             self.on_outcome(Done(WriteResult(version, self.paths), code))
         else:
             detail = f'version {version} is stored'
--- a/features/builders/admin.py
+++ b/features/builders/admin.py
@@ -51,10 +51,10 @@
 
     context: Any = None
 
-    def publish(self, snapshot: Snapshot, on_handed: Any) -> None:
+    def publish(self, snapshot: Snapshot, on_handed: Any) -> bool:
         """Takes the snapshot here, then confirms."""
         self.context.snapshots.take(snapshot)
-        MemoryPublisher.publish(self, snapshot, on_handed)
+        return MemoryPublisher.publish(self, snapshot, on_handed)
 
 
 @define(slots=True, eq=False)
--- a/features/builders/settings.py
+++ b/features/builders/settings.py
@@ -5,6 +5,7 @@
 
 from attrs import define, field
 
+from cumindrift.address import Endpoint
 from cumindrift.administration import check as _check
 from cumindrift.code import ResultCode
 from cumindrift.outcome import NotRun, Outcome, Unknown
@@ -49,20 +50,26 @@
 
     has_peers: bool = True
     published: list[Snapshot] = field(factory=list)
-    reported: dict[str, int] = field(factory=dict)
+    reported: dict[Endpoint, int] = field(factory=dict)
+    survey_count: int = 0
 
-    def versions(self) -> dict[str, int]:
+    def versions(self, now_s: float) -> dict[Endpoint, int]:
         """Returns what the test says that members reported."""
         return self.reported
 
+    def survey(self) -> None:
+        """Counts."""
+        self.survey_count += 1
+
     def publish(
         self,
         snapshot: Snapshot,
-        on_handed: Callable[[bool], None],
-    ) -> None:
+        on_handed: Callable[[int], None],
+    ) -> bool:
         """Notes the snapshot and confirms it."""
         self.published.append(snapshot)
-        on_handed(self.has_peers)
+        on_handed(int(self.has_peers))
+        return True
 
 
 @define(slots=True, eq=False)
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -57,7 +57,7 @@
       | a write is lost on its way and the next one not taken   | 503  | 1       | 1         |
       | the same write is repeated after its answer was lost    | 103  | 2       | 2         |
       | the platform is down                                    | 500  | 1       | 1         |
-      | no peer confirms the snapshot                           | 305  | 2       | 2         |
+      | no peer confirms the snapshot                           | 308  | 2       | 2         |
       | the write is repeated once peers are back               | 103  | 2       | 2         |
       | a write changes nothing                                 | 103  | 1       | 1         |
       | a stale version is rolled forward to                    | 404  | 2       | 2         |
--- a/features/steps/admin_steps.py
+++ b/features/steps/admin_steps.py
@@ -276,7 +276,7 @@
     api.context.membership.view = view_of(counted)
     version = api.context.snapshots.snapshot.version
     api.context.publisher.reported = {
-        member.name: version for member in members_of(context)
+        member.endpoint: version for member in members_of(context)
     }
 
 
@@ -289,7 +289,7 @@
     api = context.api
     members = members_of(context)
     if trouble == 'a member lags':
-        api.context.publisher.reported[members[0].name] = 1
+        api.context.publisher.reported[members[0].endpoint] = 1
     elif trouble == 'the platform is down':
         api.store.is_down = True
     elif trouble == 'a target is draining':
