--- a/cumindrift/code.py
+++ b/cumindrift/code.py
@@ -71,6 +71,8 @@
     SETTINGS_FILE = 600, 'The settings file cannot be used.'
     PORT_IN_USE = 601, 'An address of this process is taken or not its own.'
     RESTARTS_EXHAUSTED = 602, 'A child failed too often; the process stopped.'
+    NO_BALANCER = 603, 'No balancer answers at the addresses given.'
+    BAD_COMMAND = 604, 'The command line cannot be understood.'
 
     PACKET_MALFORMED = 700, 'A packet from the fabric cannot be parsed.'
     PACKET_NO_SERVICE = 701, 'No service stands behind the address.'
--- a/cumindrift/settings/token.py
+++ b/cumindrift/settings/token.py
@@ -9,9 +9,10 @@
 from cumindrift.outcome import Done, Refused
 
 SUPERVISORS = 'supervisors'
+SALT_BYTES = 16
 SECRET_BYTES = 32
+TOKEN_BYTES = SALT_BYTES + SECRET_BYTES
 _DIGEST_BYTES = 32
-_SALT_BYTES = 32
 _SEPARATOR = '.'
 
 
@@ -56,8 +57,8 @@
     octets: bytes,
 ) -> tuple[str, TokenSettings]:
     """Makes a token of random octets; returns it and what is kept of it."""
-    salt = octets[: _SALT_BYTES // 2].hex()
-    secret = octets[_SALT_BYTES // 2 :].hex()
+    salt = octets[:SALT_BYTES].hex()
+    secret = octets[SALT_BYTES:].hex()
     kept = TokenSettings(holder, salt, digest_of_secret(salt, secret))
     return f'{holder}{_SEPARATOR}{secret}', kept
 
--- /dev/null
+++ b/cumindrift/tool/local.py
@@ -0,0 +1,78 @@
+"""Commands that call no balancer: help, codes and new tokens."""
+
+import json
+import re
+from secrets import token_bytes
+
+from attrs import asdict
+from tabulate import tabulate
+
+from cumindrift.code import ResultCode
+from cumindrift.outcome import Done, Outcome
+from cumindrift.settings.token import TOKEN_BYTES, make_token
+from cumindrift.tool.reading import table
+from cumindrift.tool.session import (
+    Report,
+    Session,
+    bad_use,
+    commands,
+    summary_of,
+    usage_of,
+)
+
+_CODE_HEADERS = ['code', 'name', 'meaning']
+_HOLDER = re.compile('[a-z0-9][a-z0-9-]*')
+
+
+def code_table() -> str:
+    """Returns the table of result codes, as docs/RESULT-CODES.md has it."""
+    rows = [[int(code), code.name, code.meaning] for code in ResultCode]
+    return tabulate(rows, _CODE_HEADERS, tablefmt='github')
+
+
+@commands.register('codes')
+def list_codes(session: Session, arguments: list[str]) -> Outcome:
+    """Lists all result codes, or one of them, with their meanings.
+
+    Usage: codes [CODE]
+    """
+    codes = [
+        code
+        for code in ResultCode
+        if not arguments or arguments[0] in {str(int(code)), code.name}
+    ]
+    rows = [[int(code), code.name, code.meaning] for code in codes]
+    bare = [
+        {'code': number, 'name': name, 'meaning': meaning}
+        for number, name, meaning in rows
+    ]
+    return Done(Report(bare, table(rows, _CODE_HEADERS)))
+
+
+@commands.register('new-token')
+def make_new_token(session: Session, arguments: list[str]) -> Outcome:
+    """Makes a token, and the entry that balancers keep of it.
+
+    Usage: new-token TEAM | new-token supervisors
+    """
+    if len(arguments) != 1 or not _HOLDER.fullmatch(arguments[0]):
+        return bad_use('new-token')
+    token, kept = make_token(arguments[0], token_bytes(TOKEN_BYTES))
+    entry = json.dumps(asdict(kept))
+    text = f'token, for its holder alone:\n{token}\n\nfor "tokens":\n{entry}'
+    return Done(Report({'token': token, 'entry': asdict(kept)}, text))
+
+
+@commands.register('help')
+def show_help(session: Session, arguments: list[str]) -> Outcome:
+    """Lists the commands, or explains one of them.
+
+    Usage: help [COMMAND]
+    """
+    if arguments and arguments[0] in commands:
+        command = commands.get(arguments[0])
+        text = f'{summary_of(command)}\n\nusage: cumindrift {usage_of(command)}'
+        return Done(Report({'usage': usage_of(command)}, text))
+    rows = [[usage_of(entry), summary_of(entry)] for _, entry in commands]
+    bare = [{'usage': usage, 'summary': summary} for usage, summary in rows]
+    return Done(Report(bare, table(rows, ['command', 'what it does'])))
--- /dev/null
+++ b/cumindrift/tool/reading.py
@@ -0,0 +1,188 @@
+"""Commands that read: settings, history, views and the handover report."""
+
+import json
+from datetime import UTC, datetime
+from typing import Any
+
+from tabulate import tabulate
+
+from cumindrift.outcome import Done, Outcome
+from cumindrift.tool.session import Report, Session, bad_use, commands
+
+_TABLE = 'simple'
+_SHOWN_CHARACTERS_MAX = 60
+
+
+def table(rows: list[list[Any]], headers: list[str]) -> str:
+    """Returns a table for a person."""
+    return tabulate(rows, headers, tablefmt=_TABLE, disable_numparse=True)
+
+
+def change_table(changes: list[dict[str, Any]]) -> str:
+    """Returns a table of paths with what stood and stands there."""
+    rows = [
+        [
+            change['path'],
+            _short(change['before']) if 'before' in change else '(nothing)',
+            _short(change['after']) if 'after' in change else '(nothing)',
+        ]
+        for change in changes
+    ]
+    return table(rows, ['path', 'before', 'after'])
+
+
+@commands.register('get')
+def get_settings(session: Session, arguments: list[str]) -> Outcome:
+    """Shows the settings in force, or those at or below a path.
+
+    Usage: get [PATH]
+    """
+    path = arguments[0] if arguments else '/'
+    found = session.get(f'/settings/{path.strip("/")}')
+    if not isinstance(found, Done):
+        return found
+    bare = found.content
+    text = json.dumps(bare['content'], indent=2)
+    heading = f'// version {bare["version"]}, {bare["path"]}'
+    return Done(Report(bare, f'{heading}\n{text}'))
+
+
+@commands.register('diff')
+def compare_versions(session: Session, arguments: list[str]) -> Outcome:
+    """Shows what differs between two versions of the history.
+
+    Usage: diff FROM TO
+    """
+    if len(arguments) != 2 or not all(text.isdecimal() for text in arguments):
+        return bad_use('diff')
+    found = session.get(f'/diff?from={arguments[0]}&to={arguments[1]}')
+    if not isinstance(found, Done):
+        return found
+    return Done(Report(found.content, change_table(found.content['changes'])))
+
+
+@commands.register('history')
+def show_history(session: Session, arguments: list[str]) -> Outcome:
+    """Lists who changed what, newest first.
+
+    Usage: history [PATH]
+    """
+    path = arguments[0] if arguments else ''
+    found = session.get(f'/history/{path.strip("/")}')
+    if not isinstance(found, Done):
+        return found
+    rows = [
+        [
+            entry['version'],
+            _moment(entry['changed_at_s']),
+            entry['author'],
+            entry['path'],
+            'yes' if entry['can_roll_forward'] else 'no',
+        ]
+        for entry in found.content['history']
+    ]
+    headers = ['version', 'changed at', 'author', 'path', 'kept']
+    return Done(Report(found.content, table(rows, headers)))
+
+
+@commands.register('teams')
+def list_teams(session: Session, arguments: list[str]) -> Outcome:
+    """Lists the teams, their services and targets.
+
+    Usage: teams
+    """
+    found = session.get('/teams')
+    if not isinstance(found, Done):
+        return found
+    rows = [list(team.values()) for team in found.content['teams']]
+    text = table(rows, ['team', 'services', 'targets'])
+    return Done(Report(found.content, text))
+
+
+@commands.register('services')
+def list_services(session: Session, arguments: list[str]) -> Outcome:
+    """Lists services with their targets by data centre and state.
+
+    Usage: services [TEAM]
+    """
+    team = arguments[0] if arguments else ''
+    found = session.get(f'/services/{team}')
+    if not isinstance(found, Done):
+        return found
+    rows = [
+        [
+            f'{service["team"]}/{service["service"]}',
+            service['address'],
+            service['placement'],
+            _places(service['targets']) or 'none',
+        ]
+        for service in found.content['services']
+    ]
+    text = table(rows, ['service', 'address', 'placement', 'targets'])
+    return Done(Report(found.content, text))
+
+
+@commands.register('status')
+def show_status(session: Session, arguments: list[str]) -> Outcome:
+    """Shows what one balancer believes of members and data centres.
+
+    Usage: status
+    """
+    found = session.get('/status')
+    if not isinstance(found, Done):
+        return found
+    bare = found.content
+    rows = [
+        ['balancer', f'{bare["process"]} in {bare["data_centre"]}'],
+        ['settings version', bare['version']],
+    ]
+    rows.extend(
+        [f'data centre {name}', state]
+        for name, state in sorted(bare['data_centres'].items())
+    )
+    rows.extend(sorted([key, count] for key, count in bare['members'].items()))
+    return Done(Report(bare, table(rows, ['what', 'is'])))
+
+
+@commands.register('handover')
+def show_handover(session: Session, arguments: list[str]) -> Outcome:
+    """Tells whether the deployment holds unattended; exit code 1 if not.
+
+    Usage: handover
+    """
+    found = session.get('/handover')
+    if not isinstance(found, Done):
+        return found
+    bare = found.content
+    rows = [
+        [
+            'yes' if finding['holds'] else 'NO',
+            finding['check'],
+            finding['subject'],
+            finding['detail'],
+        ]
+        for finding in bare['findings']
+    ]
+    text = table(rows, ['holds', 'check', 'subject', 'detail'])
+    verdict = 'It holds.' if bare['holds'] else 'It does not hold.'
+    return Done(Report(bare, f'{text}\n\n{verdict}', bare['holds']))
+
+
+def _places(targets: dict[str, dict[str, int]]) -> str:
+    return '; '.join(
+        f'{place}: '
+        + ', '.join(f'{count} {state}' for state, count in states.items())
+        for place, states in sorted(targets.items())
+    )
+
+
+def _moment(changed_at_s: float) -> str:
+    moment = datetime.fromtimestamp(changed_at_s, UTC)
+    return moment.strftime('%Y-%m-%d %H:%M:%SZ')
+
+
+def _short(bare: Any) -> str:
+    text = json.dumps(bare)
+    if len(text) > _SHOWN_CHARACTERS_MAX:
+        return f'{text[:_SHOWN_CHARACTERS_MAX]}...'
+    return text
--- a/features/builders/admin.py
+++ b/features/builders/admin.py
@@ -125,7 +125,8 @@
         raw.close()
         self._tick()
         head, _, answer = raw.received.partition(b'\r\n\r\n')
-        return int(head.split()[1]), json.loads(answer)
+        is_json = b'application/json' in head
+        return int(head.split()[1]), json.loads(answer) if is_json else answer
 
     def put(
         self,
--- /dev/null
+++ b/features/builders/tool.py
@@ -0,0 +1,52 @@
+"""Builds runs of the command-line tool against an API in memory."""
+
+import json
+from http.client import RemoteDisconnected
+
+from attrs import define, field
+
+from cumindrift.address import Endpoint
+from cumindrift.tool.client import ApiCall, ApiClient
+from cumindrift.tool.command import Printed, run_command
+from cumindrift.tool.session import Options, Session
+from features.builders.admin import TOKENS, AdminBench
+
+UP = Endpoint('127.0.1.1', 7200)
+DOWN = Endpoint('127.0.1.2', 7200)
+
+
+@define(slots=True, eq=False)
+class ToolBench:
+    """Runs commands; can lose answers on the way back."""
+
+    api: AdminBench = field(factory=AdminBench)
+    balancers: tuple[Endpoint, ...] = (DOWN, UP)
+    answers_lost_count: int = 0
+    calls: list[ApiCall] = field(factory=list)
+
+    def run(self, line: str, **options: object) -> Printed:
+        """Runs a command line of words, as supervisors unless told."""
+        options.setdefault('token', TOKENS['supervisors'][0])
+        client = ApiClient(self.balancers, self._carry)
+        return run_command(Session(client, Options(**options)), line.split())
+
+    def _carry(self, endpoint: Endpoint, call: ApiCall) -> bytes:
+        """Carries a call to the one balancer that is up."""
+        if endpoint != UP:
+            raise ConnectionRefusedError('refused')
+        self.calls.append(call)
+        headers = {
+            name.replace('-', '_'): text for name, text in call.headers.items()
+        }
+        answer = self.api.call(
+            call.method,
+            call.target,
+            '',
+            call.body(),
+            **headers,
+        )
+        if call.method != 'GET' and self.answers_lost_count:
+            self.answers_lost_count -= 1
+            raise RemoteDisconnected('the connection broke')
+        body = answer[1]
+        return body if isinstance(body, bytes) else json.dumps(body).encode()
