--- a/cumindrift/code.py
+++ b/cumindrift/code.py
@@ -71,8 +71,9 @@
     SETTINGS_FILE = 600, 'The settings file cannot be used.'
     PORT_IN_USE = 601, 'An address of this process is taken or not its own.'
     RESTARTS_EXHAUSTED = 602, 'A child failed too often; the process stopped.'
-    NO_BALANCER = 603, 'No balancer answers at the addresses given.'
-    BAD_COMMAND = 604, 'The command line cannot be understood.'
+    SUPERSEDED = 603, 'A later process of the same name is a member.'
+    NO_BALANCER = 604, 'No balancer answers at the addresses given.'
+    BAD_COMMAND = 605, 'The command line cannot be understood.'
 
     PACKET_MALFORMED = 700, 'A packet from the fabric cannot be parsed.'
     PACKET_NO_SERVICE = 701, 'No service stands behind the address.'
@@ -85,3 +86,5 @@
     SEARCH_UNSURE = 708, 'A search ended while views or an agent were fresh.'
     OPEN_PENDING = 709, 'A repeated open while the first is being placed.'
     SNAPSHOT_CORRUPT = 710, 'A snapshot has a wrong digest or content.'
+    MESSAGE_STALE = 711, 'A peer message is of an old incarnation or probe.'
+    MESSAGE_MISDIRECTED = 712, 'A peer message was meant for another process.'
--- a/cumindrift/traffic/record.py
+++ b/cumindrift/traffic/record.py
@@ -15,7 +15,7 @@
 SLICE_COUNT = 200
 SWEEP_PERIOD_S = 5.0
 RECORD_KEPT_S = 600.0
-RESTART_WITHIN_S = 60.0
+RESTART_WITHIN_S = 30.0
 # Flows opened closer together than this are told apart by member id.
 SAME_TIME_S = 0.05
 _MS_PER_S = 1000
@@ -47,6 +47,8 @@
     _to_check: deque[bytes] = field(factory=deque)
     _to_sweep: deque[bytes] = field(factory=deque)
     _sweep_s: float = 0.0
+    _seen: dict[int, int] = field(factory=dict)
+    _forgetful: set[int] = field(factory=set)
 
     def tell(
         self,
@@ -96,7 +98,7 @@
         """Keeps a newer record and confirms it."""
         known = self.table.records.get(record.flow_key)
         if known is not None and known.holder != record.holder:
-            if record.held and not self.point.is_gone(known.holder):
+            if record.held and not self.point.has_left(known.holder):
                 # Two holders: the one known decides whether it still is.
                 query = evolve(record, teller=self.point.me)
                 return [SendMessage(known.holder.endpoint(), query)]
@@ -122,6 +124,26 @@
         """Tells whether some keeper has not confirmed the flow."""
         return any((flow_key, told) in self._owed for told in flow.told)
 
+    def on_view(self, *, has_moved: bool) -> None:
+        """Notes which keepers forgot what they were told, or moved.
+
+        A member that restarted or left keeps no records, though its id may
+        stand in the same place again.
+        """
+        seen = {
+            member.member_id: member.incarnation
+            for member in self.point.view.targets(self.point.name)
+        }
+        forgetful = {
+            member_id
+            for member_id, incarnation in self._seen.items()
+            if seen.get(member_id) != incarnation
+        }
+        self._seen = seen
+        if forgetful or has_moved:
+            self._forgetful |= forgetful
+            self.on_moved()
+
     def on_moved(self) -> None:
         """Notes that keepers may have moved; ticks look in slices."""
         self._to_check = deque(self.table.held)
@@ -139,6 +161,8 @@
     def tick(self, now_s: float) -> list[Action]:
         """Sends again, tells moved keepers and sweeps, a slice of each."""
         actions = self._retry(now_s)
+        if not self._to_check:
+            self._forgetful.clear()
         for _ in range(min(SLICE_COUNT, len(self._to_check))):
             actions.extend(self._check(self._to_check.popleft(), now_s))
         self._sweep(now_s)
@@ -202,7 +226,7 @@
         is_newer = known is None or known.order() < order
         if record.held and is_newer:
             opened_s = now_s - record.age_ms / _MS_PER_S
-            kept = Record(record.holder, *order, now_s, opened_s)
+            kept = Record(record.holder, *order, opened_s)
             return self.table.keep(record.flow_key, kept)
         if is_newer:
             self.table.records.pop(record.flow_key, None)
@@ -225,6 +249,11 @@
         flow = self.table.held.get(flow_key)
         if flow is None:
             return []
+        flow.told = tuple(
+            member_id
+            for member_id in flow.told
+            if member_id not in self._forgetful
+        )
         return [
             self.tell(keeper, flow_key, now_s)
             for keeper in self.point.keepers(flow_key)
@@ -249,16 +278,17 @@
         record: Record,
         now_s: float,
     ) -> bool:
-        kept_s = now_s - record.told_s
-        if kept_s < RESTART_WITHIN_S:
-            return False
         member = self.point.view.members.get(record.holder.member_id)
-        if member is None:
-            return self.point.is_gone(record.holder)
-        if member.incarnation > record.incarnation:
-            return True
         ranked = self.point.candidates(flow_key)[:RECORD_KEEPERS]
-        return kept_s > RECORD_KEPT_S and self.point.me not in ranked
+        if member is None or member.incarnation > record.incarnation:
+            kept_s = RESTART_WITHIN_S
+        elif self.point.me in ranked:
+            record.doubted_s = 0.0
+            return False
+        else:
+            kept_s = RECORD_KEPT_S
+        record.doubted_s = record.doubted_s or now_s
+        return now_s - record.doubted_s > kept_s
 
     def _hand_on(self, now_s: float) -> list[Action]:
         """Tells those who keep a record once this agent has left."""
--- a/features/tool.feature
+++ b/features/tool.feature
@@ -32,7 +32,7 @@
       | metrics cumindrift_request_seconds       | 0    | team=todistajat             |
       | codes 405                                | 0    | NOT_YOURS                   |
       | new-token studio                         | 0    | "holder": "studio"          |
-      | fly                                      | 6    | 604 BAD_COMMAND             |
+      | fly                                      | 6    | 605 BAD_COMMAND             |
 
   Scenario: JSON for programs
     Given the tool and an API of which one balancer is down
@@ -59,7 +59,7 @@
   Scenario Outline: A balancer that cannot be reached
     Given the tool and an API of which every balancer is down
     When the tool runs: <line>
-    Then the tool exits with 6 and prints 603 NO_BALANCER
+    Then the tool exits with 6 and prints 604 NO_BALANCER
 
     Examples:
       | line                  |
