--- a/features/builders/admin.py
+++ b/features/builders/admin.py
@@ -162,8 +162,9 @@
     data_centre: str,
     service: str = 'kaynti',
     state: MemberState = MemberState.SERVING,
+    team: str = 'todistajat',
 ) -> Member:
-    """Returns a target of the team todistajat."""
+    """Returns a target with an address of its own."""
     return Member(
         name=f'{service}-{data_centre}-{number}',
         role='agent',
@@ -172,7 +173,7 @@
         endpoint=Endpoint(f'127.0.2.{number}', 7100),
         incarnation=1,
         state=state,
-        team='todistajat',
+        team=team,
         service=service,
     )
 
