--- a/cumindrift/settings/record.py
+++ b/cumindrift/settings/record.py
@@ -9,7 +9,7 @@
 from cumindrift.code import ResultCode
 from cumindrift.document import make_converter, parse_strict, structure
 from cumindrift.outcome import Done, Refused
-from cumindrift.platform.store import VALUE_BYTES_MAX, StoredObject
+from cumindrift.platform.store import VALUE_BYTES_MAX
 from cumindrift.settings.path import (
     ABSENT,
     Difference,
@@ -17,7 +17,7 @@
     parse_path,
     put_at,
 )
-from cumindrift.settings.tree import Snapshot, Tree
+from cumindrift.settings.tree import Tree
 
 HISTORY_COUNT_MAX = 200
 # Bodies are compressed JSON; this much text is read from one.
@@ -158,15 +158,6 @@
     return structure(parsed.content, Record)
 
 
-def decode_snapshot(stored: StoredObject) -> Done | Refused:
-    """Returns the snapshot of a stored object, as feeders spread it."""
-    decoded = decode_record(stored.body)
-    if isinstance(decoded, Refused):
-        return decoded
-    record: Record = decoded.content
-    return Done(Snapshot(record.version, record.tree))
-
-
 def _encode(record: Record) -> bytes:
     bare = _CONVERTER.unstructure(record)
     text = json.dumps(bare, separators=(',', ':'))
--- a/cumindrift/settings/writer.py
+++ b/cumindrift/settings/writer.py
@@ -24,8 +24,6 @@
 SETTINGS_KEY = 'settings'
 # Reads that one write may spend on races and lost answers.
 ROUNDS_MAX = 6
-# A change is accepted once so many peers confirmed it.
-HANDED_COUNT_MIN = 1
 
 WriteCallback = Callable[[Outcome], None]
 
@@ -36,13 +34,13 @@
     def publish(
         self,
         snapshot: Snapshot,
-        on_handed: Callable[[int], None],
+        on_handed: Callable[[bool], None],
     ) -> bool:
         """Puts a snapshot in force here and hands it to a few peers.
 
-        `on_handed` is called once, with the number of peers that confirmed
-        this version or a newer one in time. Returns False when it is not
-        newer than what is in force.
+        `on_handed` is called once: with True when enough peers confirmed
+        this version or a newer one, with False when they did not in time.
+        Returns False when it is not newer than what is in force.
         """
 
     def versions(self, now_s: float) -> Mapping[Endpoint, int]:
@@ -233,16 +231,16 @@
         """Hands the newest snapshot to peers, then answers."""
         self.writer.publisher.publish(
             Snapshot(record.version, record.tree),
-            lambda count: self._on_handed(version, code, count),
+            lambda is_handed: self._on_handed(version, code, is_handed),
         )
 
     def _on_handed(
         self,
         version: int,
         code: ResultCode,
-        peer_count: int,
+        is_handed: bool,
     ) -> None:
-        if peer_count >= HANDED_COUNT_MIN:
+        if is_handed:
             self.on_outcome(Done(WriteResult(version, self.paths), code))
         else:
             detail = f'version {version} is stored'
--- a/features/builders/settings.py
+++ b/features/builders/settings.py
@@ -64,11 +64,11 @@
     def publish(
         self,
         snapshot: Snapshot,
-        on_handed: Callable[[int], None],
+        on_handed: Callable[[bool], None],
     ) -> bool:
         """Notes the snapshot and confirms it."""
         self.published.append(snapshot)
-        on_handed(int(self.has_peers))
+        on_handed(self.has_peers)
         return True
 
 
