--- a/cumindrift/administration/settings.py
+++ b/cumindrift/administration/settings.py
@@ -149,9 +149,9 @@
 
 def writer_of(context: Context) -> SettingsWriter | None:
     """Returns a writer, unless the process knows no platform."""
-    if context.publisher is None:
+    if not context.settings.platform:
         return None
-    return SettingsWriter(context.store, context.publisher)
+    return SettingsWriter(context.store, context.distribution)
 
 
 def no_platform() -> HttpAnswer:
--- a/cumindrift/administration/view.py
+++ b/cumindrift/administration/view.py
@@ -26,7 +26,7 @@
 
 _FINDINGS_MAX = 200
 # How long a handover report waits for members that have not reported.
-SURVEY_WAIT_S = 0.5
+SURVEY_WAIT_S = 1.5
 SURVEYED_EACH_S = 1000
 SURVEY_WAIT_MAX_S = 30.0
 
@@ -125,7 +125,7 @@
     if not facts.lagging():
         responder.reply(_answer_handover(facts))
         return
-    context.publisher.survey()
+    context.distribution.survey()
     wait_s = SURVEY_WAIT_S + len(facts.members) / SURVEYED_EACH_S
     responder.call_after(
         min(wait_s, SURVEY_WAIT_MAX_S),
@@ -148,9 +148,8 @@
 
 def _facts(context: Context, stored_version: int | None = None) -> Facts:
     snapshot = context.snapshots.snapshot
-    versions = {context.me.endpoint: snapshot.version}
-    if context.publisher is not None:
-        versions.update(context.publisher.versions(context.clock()))
+    versions = context.distribution.versions(context.clock())
+    versions = {**versions, context.me.endpoint: snapshot.version}
     return gather_facts(
         snapshot,
         context.membership.view.members.values(),
--- a/features/builders/admin.py
+++ b/features/builders/admin.py
@@ -39,7 +39,12 @@
 
 def context_of(role: str) -> Context:
     """Returns the context of a process that listens on a free port."""
-    fields = process_fields(role=role, admin='127.0.0.1:0', target=None)
+    fields = process_fields(
+        role=role,
+        admin='127.0.0.1:0',
+        platform='127.0.0.1:1',
+        target=None,
+    )
     settings = structure(fields, ProcessSettings).content
     kept = tuple(entry for _, entry in TOKENS.values())
     return make_context(evolve(settings, tokens=kept))
@@ -72,7 +77,7 @@
         """Starts with the tree of the settings' builders as version 1."""
         self.context = context_of(self.role)
         self.context.store = self.store
-        self.context.publisher = PuttingPublisher(context=self.context)
+        self.context.distribution = PuttingPublisher(context=self.context)
         self.context.snapshots.take(self.bench.publisher.published[0])
         supervisor = build_administration(self.context)
         self.root = Component()
