--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -168,6 +168,12 @@
         self.read = read
 
 
+@when('settings race: a write is lost on its way and the next one not taken')
+def step_lost_early(context):
+    context.bench.store.writes_lost_count = 1
+    context.outcome = context.bench.write('w', STATE, 'out')
+
+
 @when('settings race: the same write is repeated after its answer was lost')
 def step_repeat(context):
     step_lost_down(context)
@@ -265,11 +271,12 @@
     assert (record.version, record.tree) == (4, first), record
 
 
-@when('the settings record holds 4000 services and 3 whole changes of them')
+@when('the settings record holds 9000 services and 3 whole changes of them')
 def step_large(context):
+    random = Random(1)
     services = {
-        f'service-{number}': Service(f'10.1.{number // 250}.{number % 250}', 80)
-        for number in range(4000)
+        random.randbytes(30).hex(): Service(f'10.1.{number}', 80)
+        for number in range(9000)
     }
     tree = Tree(teams={'large': Team(services)})
     bare = bare_of(tree)['teams']['large']
