The whole path in virtual time, with the real encoding

Scenarios: claims run once at 0, 5 and 10 percent loss; a data centre out gets no request after 3 s; flows go on when a balancer dies; forged datagrams.

--- /dev/null
+++ b/features/path.feature
@@ -0,0 +1,36 @@
+Feature: The whole path, in virtual time with the real encoding
+  Callers, fabric, balancers, agents and targets; messages are encoded and
+  sealed as between processes.
+
+  Scenario Outline: Claims run once, through any balancer
+    Given the small deployment with seed <seed> and <loss>% loss
+    When 20 callers each make 5 claims
+    Then every claim is done
+    And no claim ran twice
+
+    Examples:
+      | seed | loss |
+      | 1    | 0    |
+      | 2    | 5    |
+      | 3    | 10   |
+
+  Scenario: A data centre that is taken out gets no request after 3 s
+    Given the small deployment with seed 4 and 0% loss
+    And 20 callers each make 5 claims
+    When the data centre van-c is taken out
+    And callers go on for 10 s
+    Then no target in van-c started a request later than 3 s after that
+    And no claim ran twice
+
+  Scenario: Flows go on when a balancer dies
+    Given the small deployment with seed 5 and 0% loss
+    And 20 callers each make 5 claims
+    When balancer-2 dies
+    And callers go on for 10 s
+    Then no flow was lost
+    And no claim ran twice
+
+  Scenario: A forged datagram changes nothing
+    Given the small deployment with seed 6 and 0% loss
+    When balancer-1 gets a message sealed with another key
+    Then balancer-1 still has settings version 1
--- /dev/null
+++ b/features/steps/path_steps.py
@@ -0,0 +1,129 @@
+"""Steps of the whole path's feature."""
+
+from behave import given, then, when
+
+from cumindrift.code import ResultCode
+from cumindrift.keyring import Keyring
+from cumindrift.outcome import Done, NotRun
+from cumindrift.settings.message import distribution
+from cumindrift.settings.snapshot import pack_snapshot
+from cumindrift.settings.transfer import cut_chunk
+from cumindrift.settings.tree import Snapshot
+from cumindrift.wire import encode_frame
+from features.builders.path import claims_tree, small_deployment
+
+CLAIM_PERIOD_S = 0.5
+CLAIM_WITHIN_S = 5.0
+
+
+@given('the small deployment with seed {seed:d} and {loss:d}% loss')
+def step_deployment(context, seed, loss):
+    context.deployment = small_deployment(seed, loss / 100)
+    context.callers = []
+
+
+@given('{callers:d} callers each make {claims:d} claims')
+@when('{callers:d} callers each make {claims:d} claims')
+def step_claims(context, callers, claims):
+    network = context.deployment.network
+    for number in range(1, callers + 1):
+        context.callers.append(context.deployment.add_caller(number))
+    for _ in range(claims):
+        for caller in context.callers:
+            caller.claim(CLAIM_WITHIN_S)
+        network.run(network.now_s + CLAIM_PERIOD_S)
+    network.run(network.now_s + CLAIM_WITHIN_S)
+
+
+@when('the data centre van-c is taken out')
+def step_out(context):
+    context.out_s = context.deployment.network.now_s
+    context.deployment.accept(claims_tree(van_c='out'), 2)
+
+
+@when('balancer-2 dies')
+def step_dies(context):
+    context.deployment.kill('balancer-2')
+
+
+@when('callers go on for {seconds:d} s')
+def step_go_on(context, seconds):
+    network = context.deployment.network
+    until_s = network.now_s + seconds
+    while network.now_s < until_s:
+        for caller in context.callers:
+            caller.claim(CLAIM_WITHIN_S)
+        network.run(network.now_s + CLAIM_PERIOD_S)
+    network.run(network.now_s + CLAIM_WITHIN_S)
+
+
+@then('every claim is done')
+def step_done(context):
+    for caller in context.callers:
+        assert not caller.session.pending_count
+        for outcome in caller.outcomes.values():
+            assert isinstance(outcome, Done), outcome
+
+
+@then('no claim ran twice')
+def step_once(context):
+    twice = {
+        request_id: count
+        for request_id, count in context.deployment.runs.items()
+        if count > 1
+    }
+    assert context.deployment.runs, 'nothing ran at all'
+    assert not twice, twice
+
+
+@then('no target in van-c started a request later than 3 s after that')
+def step_quiet(context):
+    started = {
+        name: link.last_run_s - context.out_s
+        for name, link in context.deployment.links.items()
+        if 'van-c' in name
+    }
+    assert max(started.values()) <= 3, started
+
+
+@then('no flow was lost')
+def step_kept(context):
+    lost = [
+        outcome
+        for caller in context.callers
+        for outcome in caller.outcomes.values()
+        if outcome.code
+        in {ResultCode.NO_SUCH_FLOW, ResultCode.OTHER_INCARNATION}
+    ]
+    assert not lost, lost
+    done = [
+        outcome
+        for caller in context.callers
+        for outcome in caller.outcomes.values()
+        if isinstance(outcome, Done)
+    ]
+    not_run = [
+        outcome
+        for caller in context.callers
+        for outcome in caller.outcomes.values()
+        if isinstance(outcome, NotRun)
+    ]
+    assert len(done) > len(not_run), (len(done), len(not_run))
+
+
+@when('balancer-1 gets a message sealed with another key')
+def step_forged(context):
+    deployment = context.deployment
+    balancer = deployment.contexts['balancer-1']
+    stranger = deployment.contexts['balancer-2'].me.endpoint
+    packed = pack_snapshot(Snapshot(9, claims_tree(hel_a='out')))
+    frame = encode_frame(distribution, cut_chunk(packed, 0, stranger))
+    forged = Keyring((b'another key of 16 octets',)).seal(frame)
+    deployment.network.send(stranger, balancer.me.endpoint, forged)
+    deployment.network.run(deployment.network.now_s + 1)
+
+
+@then('balancer-1 still has settings version {version:d}')
+def step_version(context, version):
+    balancer = context.deployment.contexts['balancer-1']
+    assert balancer.snapshots.snapshot.version == version
