Ledger features, a service caller with a retry budget, mixed-fault runs

Cause: the ledger's rules were unproved. Change: features in tables; runs in virtual time over loss, doubling, late copies, strays, kills, hand-overs. A response time of 0 ended the agent by a division (feature 'The ledger is bounded').

--- a/cumindrift/caller/client.py
+++ b/cumindrift/caller/client.py
@@ -38,6 +38,7 @@
         self._fabric = fabric
         self._service = service
         self._clock = clock
+        self._is_finishing = False
         self.session = Session(SystemRandom(), on_outcome)
         self._port.register(self)
         self._ticker = Ticker(
@@ -47,6 +48,16 @@
         ).register(self)
         self._send(self.session.open(clock()))
 
+    @property
+    def retry_after_s(self) -> float:
+        """How long the agent asked to wait before another attempt."""
+        return self.session.retry_after_s
+
+    @property
+    def is_refused(self) -> bool:
+        """Whether no agent took the flow."""
+        return self.session.refusal is not None
+
     def request(self, request: Request, within_s: float) -> None:
         """Starts a request that has `within_s` seconds in all."""
         now_s = self._clock()
@@ -57,10 +68,11 @@
         self._send(self.session.cancel(request_id))
 
     def finish(self) -> None:
-        """Closes the flow and the socket."""
-        self._send(self.session.close())
-        self.release()
-        self.unregister()
+        """Closes the flow and the socket at the next tick.
+
+        What the session still has to send, as a cancellation, goes first.
+        """
+        self._is_finishing = True
 
     def release(self) -> None:
         """Closes the socket."""
@@ -71,6 +83,10 @@
 
     def _tick(self) -> None:
         self._send(self.session.tick(self._clock()))
+        if self._is_finishing:
+            self._send(self.session.close())
+            self.release()
+            self.unregister()
 
     def _send(self, payloads: list[bytes]) -> None:
         for payload in payloads:
--- /dev/null
+++ b/cumindrift/caller/service.py
@@ -0,0 +1,185 @@
+"""Calls to a service: flows are opened, 'not run' is tried elsewhere."""
+
+from collections.abc import Callable
+from random import Random
+from typing import Protocol
+
+from attrs import define, evolve, field
+
+from cumindrift.caller.budget import RetryBudget
+from cumindrift.caller.message import Request
+from cumindrift.caller.session import OutcomeSink
+from cumindrift.code import ResultCode
+from cumindrift.outcome import NotRun, Outcome
+
+ATTEMPTS_MAX = 3
+BACKOFF_BASE_S = 0.1
+BACKOFF_MAX_S = 2.0
+
+# Trying elsewhere cannot change these.
+_FINAL_CODES = frozenset(
+    (
+        ResultCode.CANCELLED,
+        ResultCode.TOO_LATE,
+        ResultCode.BAD_REQUEST,
+    )
+)
+# After these the flow is no use for other requests either.
+_FLOW_CODES = frozenset((ResultCode.STOPPING, ResultCode.NO_SUCH_FLOW))
+
+
+class Flow(Protocol):
+    """What a service caller needs of a flow; `Client` is one."""
+
+    @property
+    def retry_after_s(self) -> float:
+        """How long the agent asked to wait."""
+
+    @property
+    def is_refused(self) -> bool:
+        """Whether no agent took the flow."""
+
+    def request(self, request: Request, within_s: float) -> None:
+        """Starts a request."""
+
+    def cancel(self, request_id: bytes) -> None:
+        """Cancels a request."""
+
+    def finish(self) -> None:
+        """Closes the flow."""
+
+
+FlowOpener = Callable[[OutcomeSink], Flow]
+
+
+@define(slots=True, eq=False)
+class Call:
+    """One request and the flow of its latest attempt."""
+
+    request: Request
+    deadline_s: float
+    flow: Flow
+    # When the next attempt is due; None while one is under way.
+    retry_s: float | None = None
+
+
+@define(slots=True, eq=False)
+class ServiceCaller:
+    """Calls one service; the part of the caller library to start with.
+
+    Outcomes go to `on_outcome`, once for each request. Only requests that
+    were certainly not run are tried again, in a new flow and with the same
+    id, which the first agent forbids. Someone calls `tick` now and then.
+
+    Example::
+
+        caller = ServiceCaller(random, open_flow, on_outcome, monotonic)
+        caller.request(make_request(random, 'POST', '/claims'), 5.0)
+    """
+
+    random: Random
+    open_flow: FlowOpener
+    on_outcome: OutcomeSink
+    clock: Callable[[], float]
+    budget: RetryBudget = field(factory=RetryBudget)
+    attempts_max: int = ATTEMPTS_MAX
+    _flow: Flow | None = None
+    _calls: dict[bytes, Call] = field(factory=dict)
+
+    def request(self, request: Request, within_s: float) -> None:
+        """Starts a request that has `within_s` seconds in all."""
+        self.budget.on_first()
+        if self._flow is None or self._flow.is_refused:
+            self._drop_flow()
+            self._flow = self.open_flow(self._on_outcome)
+        call = Call(request, self.clock() + within_s, self._flow)
+        self._calls[request.request_id] = call
+        call.flow.request(request, within_s)
+
+    def cancel(self, request_id: bytes) -> None:
+        """Cancels a request; its outcome still comes."""
+        call = self._calls.get(request_id)
+        if call is None:
+            return
+        if call.retry_s is None:
+            call.flow.cancel(request_id)
+        else:
+            self._settle(call, NotRun(ResultCode.CANCELLED))
+
+    def tick(self) -> None:
+        """Starts the attempts that are due."""
+        now_s = self.clock()
+        due = [
+            call
+            for call in self._calls.values()
+            if call.retry_s is not None and now_s >= call.retry_s
+        ]
+        for call in due:
+            self._try_again(call, now_s)
+
+    def finish(self) -> None:
+        """Closes all flows; requests under way end unknown to the caller."""
+        for call in self._calls.values():
+            if call.flow is not self._flow:
+                call.flow.finish()
+        self._calls.clear()
+        self._drop_flow()
+
+    def _try_again(self, call: Call, now_s: float) -> None:
+        call.retry_s = None
+        call.request = evolve(call.request, attempt=call.request.attempt + 1)
+        call.flow = self.open_flow(self._on_outcome)
+        call.flow.request(call.request, call.deadline_s - now_s)
+
+    def _on_outcome(self, request_id: bytes, outcome: Outcome) -> None:
+        call = self._calls.get(request_id)
+        if call is None:
+            return
+        is_not_run = isinstance(outcome, NotRun)
+        if not is_not_run or outcome.code in _FINAL_CODES:
+            self._settle(call, outcome)
+            return
+        if outcome.code in _FLOW_CODES and call.flow is self._flow:
+            self._flow = None
+        self._plan_retry(call, outcome)
+
+    def _plan_retry(self, call: Call, outcome: NotRun) -> None:
+        retry_s = self.clock() + self._jittered_s(call)
+        attempt = call.request.attempt
+        if attempt >= self.attempts_max or retry_s >= call.deadline_s:
+            self._settle(call, outcome)
+        elif self.budget.take():
+            self._leave_flow(call)
+            call.retry_s = retry_s
+        else:
+            detail = outcome.code.name
+            self._settle(call, NotRun(ResultCode.BUDGET_SPENT, detail))
+
+    def _jittered_s(self, call: Call) -> float:
+        backoff_s = BACKOFF_BASE_S * 2**call.request.attempt
+        wait_s = max(backoff_s, call.flow.retry_after_s)
+        return self.random.random() * min(BACKOFF_MAX_S, wait_s)
+
+    def _settle(self, call: Call, outcome: Outcome) -> None:
+        self._calls.pop(call.request.request_id)
+        if call.retry_s is None:
+            self._leave_flow(call)
+        self.on_outcome(call.request.request_id, outcome)
+
+    def _leave_flow(self, call: Call) -> None:
+        flow = call.flow
+        if flow is not self._flow and not self._is_used(flow, call):
+            flow.finish()
+
+    def _drop_flow(self) -> None:
+        flow = self._flow
+        self._flow = None
+        if flow is not None and not self._is_used(flow):
+            flow.finish()
+
+    def _is_used(self, flow: Flow, but_by: Call | None = None) -> bool:
+        return any(
+            call.flow is flow and call.retry_s is None
+            for call in self._calls.values()
+            if call is not but_by
+        )
--- a/cumindrift/traffic/admission.py
+++ b/cumindrift/traffic/admission.py
@@ -22,6 +22,7 @@
 FIRST_SAMPLES = 4
 BACKOFF_FIRST_S = 0.1
 BACKOFF_MAX_S = 2.0
+RESPONSE_MIN_S = 1e-6
 HISTORY_STEP_SHARE = 1 / 32
 
 
@@ -124,7 +125,7 @@
         started_s = self._waiting.pop(request_id, None)
         if started_s is None:
             return
-        elapsed_s = now_s - started_s
+        elapsed_s = max(RESPONSE_MIN_S, now_s - started_s)
         is_slow = elapsed_s > self._tolerated_s()
         if is_slow and self.limit > COLD_CONCURRENCY:
             self._turn_cold(now_s)
--- a/cumindrift/traffic/front.py
+++ b/cumindrift/traffic/front.py
@@ -34,7 +34,7 @@
 from cumindrift.traffic.admission import Admission
 from cumindrift.traffic.finder import FlowFinder
 from cumindrift.traffic.image import adopt_ledger, export_ledger
-from cumindrift.traffic.ledger import Entry, Ledger
+from cumindrift.traffic.ledger import Entry, Ledger, draw_incarnation
 from cumindrift.traffic.packet import read_packet
 from cumindrift.traffic.reply import (
     Ended,
@@ -103,7 +103,7 @@
         target = self.context.settings.target
         random = self.context.random
         self.core = RequestCore(
-            Ledger(self.context.me.incarnation),
+            Ledger(draw_incarnation(random)),
             Admission(target.slots if target else 1, random),
             random,
         )
@@ -236,7 +236,8 @@
     def _reply_open(self, caller: Endpoint, code: ResultCode) -> None:
         me = self.context.me
         clock_ms = int(self.context.clock() * MS_PER_S)
-        reply = OpenReply(code, me.incarnation, me.name, clock_ms)
+        incarnation = self.core.ledger.incarnation
+        reply = OpenReply(code, incarnation, me.name, clock_ms)
         self._send(caller, reply)
 
     def _send(self, caller: Endpoint, message: Any) -> None:
--- a/cumindrift/traffic/image.py
+++ b/cumindrift/traffic/image.py
@@ -7,7 +7,6 @@
 from cumindrift.code import ResultCode
 from cumindrift.outcome import Done, Outcome, Refused
 from cumindrift.traffic.ledger import (
-    ENTRY_KEPT_S,
     Entry,
     EntryState,
     Ledger,
@@ -54,7 +53,7 @@
     What still runs is unknown to whoever takes the image over.
     """
     ledger.is_sealed = True
-    floor_s = max(ledger.floor_s, now_s - ENTRY_KEPT_S)
+    floor_s = ledger.floor_at(now_s)
     image = Image(
         clock_ms=_ms(now_s),
         floor_ms=_ms(floor_s) + 1,
--- a/cumindrift/traffic/ledger.py
+++ b/cumindrift/traffic/ledger.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from enum import Enum, unique
+from random import Random
 
 from attrs import define, field
 
@@ -16,6 +17,7 @@
 # An adopted clock reads ahead by the time that the hand-over took.
 ADOPTED_SLACK_S = 60.0
 PUSH_PARTS = 16
+INCARNATION_BITS = 64
 
 
 @unique
@@ -120,6 +122,7 @@
     """
 
     incarnation: int
+    kept_s: float = ENTRY_KEPT_S
     entries_max: int = ENTRIES_MAX
     answers_max_bytes: int = ANSWERS_MAX_BYTES
     entries: dict[bytes, Entry] = field(factory=dict)
@@ -148,13 +151,17 @@
         if incarnation not in self.epochs:
             return ResultCode.OTHER_INCARNATION
         born_s = self.born_s(incarnation, born_ms)
-        floor_s = max(self.floor_s, now_s - ENTRY_KEPT_S)
+        floor_s = self.floor_at(now_s)
         is_own = incarnation == self.incarnation
         slack_s = CLOCK_SLACK_S if is_own else ADOPTED_SLACK_S
         if born_s <= floor_s or born_s > now_s + slack_s:
             return ResultCode.ID_EXPIRED
         return None
 
+    def floor_at(self, now_s: float) -> float:
+        """Returns the floor: ids born until then may be forgotten."""
+        return max(self.floor_s, now_s - self.kept_s)
+
     def born_s(self, incarnation: int, born_ms: int) -> float:
         """Returns a birth time on the own clock."""
         return born_ms / MS_PER_S + self.epochs[incarnation]
@@ -199,7 +206,7 @@
         """Forgets ended entries that are old or too many."""
         while self._ended:
             entry = self.entries[self._ended[0]]
-            is_old = entry.ended_s <= now_s - ENTRY_KEPT_S
+            is_old = entry.ended_s <= now_s - self.kept_s
             if not is_old and len(self.entries) <= self.entries_max:
                 return
             self._ended.popleft()
@@ -213,3 +220,12 @@
     def _bound_answers(self) -> None:
         while self.answer_bytes > self.answers_max_bytes and self.undelivered:
             self.drop_answer(self.entries[next(iter(self.undelivered))])
+
+
+def draw_incarnation(random: Random) -> int:
+    """Returns the number of a new ledger, which no other one has.
+
+    A start time would not do: agents that start in the same millisecond
+    would take each other's requests for their own.
+    """
+    return random.getrandbits(INCARNATION_BITS) or 1
--- /dev/null
+++ b/features/builders/request.py
@@ -0,0 +1,247 @@
+"""Builds a request core and drives it by short scripts."""
+
+from random import Random
+
+from attrs import define, field
+
+from cumindrift.address import Endpoint
+from cumindrift.caller.message import (
+    Acknowledge,
+    Cancel,
+    Part,
+    PartAsk,
+    Request,
+    Verdict,
+)
+from cumindrift.registry import Registry
+from cumindrift.traffic.admission import Admission
+from cumindrift.traffic.image import adopt_ledger, export_ledger
+from cumindrift.traffic.ledger import Ledger
+from cumindrift.traffic.reply import Reply, Run
+from cumindrift.traffic.request import RequestCore
+
+CALLER = Endpoint('10.9.0.1', 1)
+OTHER_CALLER = Endpoint('10.9.0.2', 2)
+REMAINING_MS = 400_000
+START_S = 1000.0
+
+
+def request_id(name='a'):
+    """Returns the id that scripts call by a short name."""
+    return name.encode().ljust(16, b'.')
+
+
+def make_core(incarnation=7, slots=4, **bounds):
+    """Returns a core whose target is trusted to run `slots` requests."""
+    core = RequestCore(
+        Ledger(incarnation, **bounds),
+        Admission(slots, Random(1)),
+        Random(2),
+    )
+    core.admission.limit = slots
+    return core
+
+
+@define(slots=True, eq=False)
+class Bench:
+    """One agent without a network; a script is a list of words."""
+
+    core: RequestCore = field(factory=make_core)
+    now_s: float = START_S
+    born_s: float = START_S
+    run_ids: list[bytes] = field(factory=list)
+    actions: list = field(factory=list)
+    last: list = field(factory=list)
+
+    def play(self, script):
+        """Plays steps as ``request a, wait 5, end a``."""
+        for step in script.split(','):
+            word, *rest = step.split()
+            self.take(words.get(word)(self, *rest) or [])
+
+    def take(self, actions):
+        """Notes what the core decided."""
+        self.last = actions
+        self.actions.extend(actions)
+        self.run_ids.extend(
+            action.request.request_id
+            for action in actions
+            if isinstance(action, Run)
+        )
+
+    def request(self, name='a', **fields):
+        """Returns a request of this incarnation, born at `born_s`."""
+        return Request(
+            request_id(name),
+            **{
+                'incarnation': 7,
+                'is_idempotent': False,
+                'remaining_ms': REMAINING_MS,
+                'attempt': 1,
+                'method': 'POST',
+                'path': '/',
+                'body': b'',
+                'born_ms': int(self.born_s * 1000),
+                'transmission': 1,
+                **fields,
+            },
+        )
+
+    def reply_names(self):
+        """Returns codes of verdicts and numbers of parts, last step."""
+        return [
+            message.code.name
+            if isinstance(message, Verdict)
+            else f'part {message.number}'
+            for message in self.messages()
+        ]
+
+    def messages(self):
+        """Returns the messages of the last step."""
+        return [
+            action.message for action in self.last if isinstance(action, Reply)
+        ]
+
+    def whole_body(self):
+        """Returns the parts sent so far, put together."""
+        parts = {
+            action.message.number: action.message.body
+            for action in self.actions
+            if isinstance(action, Reply) and isinstance(action.message, Part)
+        }
+        return b''.join(parts[number] for number in sorted(parts))
+
+
+words = Registry('word of request scripts')
+
+
+@words.register('request')
+def _request(bench, name='a', caller=CALLER):
+    return bench.core.on_request(bench.request(name), caller, bench.now_s)
+
+
+@words.register('moved')
+def _moved(bench, name='a'):
+    message = bench.request(name, transmission=2)
+    return bench.core.on_request(message, OTHER_CALLER, bench.now_s)
+
+
+@words.register('brief')
+def _brief(bench, name='a', remaining_ms='100'):
+    message = bench.request(name, remaining_ms=int(remaining_ms))
+    return bench.core.on_request(message, CALLER, bench.now_s)
+
+
+@words.register('foreign')
+def _foreign(bench, name='a'):
+    message = bench.request(name, incarnation=8)
+    return bench.core.on_request(message, CALLER, bench.now_s)
+
+
+@words.register('future')
+def _future(bench, name='a'):
+    born_ms = int(bench.now_s * 1000) + 5000
+    message = bench.request(name, born_ms=born_ms)
+    return bench.core.on_request(message, CALLER, bench.now_s)
+
+
+@words.register('malformed')
+def _malformed(bench):
+    message = bench.request('far-too-long-for-a-request-id')
+    return bench.core.on_request(message, CALLER, bench.now_s)
+
+
+@words.register('cancel')
+def _cancel(bench, name='a'):
+    born_ms = int(bench.born_s * 1000)
+    message = Cancel(request_id(name), 7, born_ms)
+    return bench.core.on_cancel(message, CALLER, bench.now_s)
+
+
+@words.register('ask')
+def _ask(bench, first='0', count='32', name='a'):
+    message = PartAsk(request_id(name), 7, int(first), int(count))
+    return bench.core.on_part_ask(message, CALLER, bench.now_s)
+
+
+@words.register('acknowledge')
+def _acknowledge(bench, name='a'):
+    bench.core.on_acknowledge(Acknowledge(request_id(name), 7))
+
+
+@words.register('head')
+def _head(bench, status='200', name='a'):
+    return bench.core.on_head(request_id(name), int(status), bench.now_s)
+
+
+@words.register('body')
+def _body(bench, size='10', name='a'):
+    body = bytes(number % 251 for number in range(int(size)))
+    return bench.core.on_body(request_id(name), body)
+
+
+@words.register('end')
+def _end(bench, name='a'):
+    return bench.core.on_end(request_id(name), bench.now_s)
+
+
+@words.register('answer')
+def _answer(bench, name='a'):
+    bench.take(_head(bench, '200', name))
+    bench.take(_body(bench, '10', name))
+    return _end(bench, name)
+
+
+@words.register('break')
+def _break(bench, name='a'):
+    return bench.core.on_failure(request_id(name), bench.now_s, was_sent=True)
+
+
+@words.register('unreached')
+def _unreached(bench, name='a'):
+    return bench.core.on_failure(request_id(name), bench.now_s, was_sent=False)
+
+
+@words.register('wait')
+def _wait(bench, seconds):
+    bench.now_s += float(seconds)
+    return bench.core.tick(bench.now_s)
+
+
+@words.register('stop')
+def _stop(bench):
+    return bench.core.stop(bench.now_s)
+
+
+@words.register('restart')
+def _restart(bench):
+    bench.core = make_core(9)
+
+
+@words.register('handover')
+def _handover(bench):
+    image = export_ledger(bench.core.ledger, bench.now_s)
+    # The successor runs on another host, whose clock reads otherwise.
+    bench.now_s += 50_000.0
+    bench.core = make_core(9)
+    adopt_ledger(bench.core.ledger, image, bench.now_s)
+
+
+@words.register('seal')
+def _seal(bench):
+    export_ledger(bench.core.ledger, bench.now_s)
+
+
+@words.register('crowd')
+def _crowd(bench, count):
+    for number in range(int(count)):
+        name = f'crowd-{number}'
+        bench.take(
+            bench.core.on_request(
+                bench.request(name, born_ms=int(bench.now_s * 1000)),
+                CALLER,
+                bench.now_s,
+            ),
+        )
+        bench.take(_answer(bench, name))
+    return bench.core.tick(bench.now_s)
--- /dev/null
+++ b/lab/requestagent.py
@@ -0,0 +1,332 @@
+"""An agent with its target in virtual time, and what really happened."""
+
+from collections import Counter
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from attrs import define, field
+
+from cumindrift.address import Endpoint
+from cumindrift.caller.answer import Answer
+from cumindrift.caller.message import (
+    MS_PER_S,
+    Acknowledge,
+    Cancel,
+    CloseFlow,
+    Open,
+    OpenReply,
+    PartAsk,
+    Request,
+    Verdict,
+    caller,
+)
+from cumindrift.code import ResultCode
+from cumindrift.outcome import Done, NotRun, Outcome
+from cumindrift.registry import Registry
+from cumindrift.traffic.admission import Admission
+from cumindrift.traffic.image import adopt_ledger, export_ledger
+from cumindrift.traffic.ledger import (
+    ENTRIES_MAX,
+    ENTRY_KEPT_S,
+    Ledger,
+    draw_incarnation,
+)
+from cumindrift.traffic.reply import (
+    Ended,
+    Pause,
+    Reply,
+    RequestAction,
+    Resume,
+    Run,
+    Stop,
+)
+from cumindrift.traffic.request import QUEUE_MAX, RequestCore
+from cumindrift.wire import decode_frame, encode_frame
+from lab.network import VirtualNetwork
+from standin.model import WorkModel
+
+AGENT_TICK_S = 0.01
+CHUNK_BYTES = 8192
+STATUS_DONE = 200
+STATUS_SHED = 503
+
+
+@define(frozen=True, slots=True)
+class Datagram:
+    """What a network carries between a caller and an agent."""
+
+    sender: Endpoint
+    payload: bytes
+
+
+@define(slots=True, eq=False)
+class Truth:
+    """What really happened, as no process can know it."""
+
+    runs: Counter[bytes] = field(factory=Counter)
+    outcomes: Counter[str] = field(factory=Counter)
+    # Runs begun after their caller was told "not run" are false refusals.
+    refused: set[bytes] = field(factory=set)
+    finished: int = 0
+    mixed_count: int = 0
+    false_not_run_count: int = 0
+    service_s: float = 0.0
+
+    def run(self, request_id: bytes) -> None:
+        """Notes that a target began to run a request."""
+        self.runs[request_id] += 1
+        self.false_not_run_count += request_id in self.refused
+
+    def settle(self, request_id: bytes, size: int, outcome: Outcome) -> None:
+        """Notes and checks what a caller was told."""
+        self.outcomes[outcome.code.name] += 1
+        if isinstance(outcome, NotRun):
+            self.refused.add(request_id)
+            self.false_not_run_count += self.runs[request_id] > 0
+        elif isinstance(outcome, Done):
+            answer: Answer = outcome.content
+            is_whole = answer.body == answer_body(request_id, size)
+            self.mixed_count += not is_whole
+
+    @property
+    def twice_count(self) -> int:
+        """The requests that ran more than once."""
+        return sum(1 for count in self.runs.values() if count > 1)
+
+
+def answer_body(request_id: bytes, size: int) -> bytes:
+    """Returns the one right answer to a request."""
+    return (request_id * (size // len(request_id) + 1))[:size]
+
+
+@define(slots=True, eq=False)
+class Work:
+    """A request at a target, and its answer on the way to the agent."""
+
+    request: Request
+    begun_s: float
+    rest: bytes | None = None
+    is_paused: bool = False
+
+
+@define(slots=True, eq=False)
+class VirtualAgent:
+    """A request core with its target; loses both when killed."""
+
+    endpoint: Endpoint
+    network: VirtualNetwork
+    random: Random
+    truth: Truth
+    model: WorkModel
+    work_s: Callable[[], float]
+    checks_deadlines: bool = True
+    queue_max: int = QUEUE_MAX
+    kept_s: float = ENTRY_KEPT_S
+    entries_max: int = ENTRIES_MAX
+    incarnation: int = 0
+    flows: set[Endpoint] = field(factory=set)
+    core: RequestCore | None = None
+    is_unreachable: bool = False
+    is_handing_over: bool = False
+    _works: dict[bytes, Work] = field(factory=dict)
+
+    def start(self, image: bytes = b'') -> None:
+        """Starts a new incarnation, with a ledger handed over if any."""
+        self.incarnation = draw_incarnation(self.random)
+        admission = Admission(self.model.slots, self.random)
+        ledger = Ledger(self.incarnation, self.kept_s, self.entries_max)
+        self.core = RequestCore(
+            ledger,
+            admission,
+            self.random,
+            self.checks_deadlines,
+            self.queue_max,
+        )
+        self.is_handing_over = False
+        if image:
+            adopt_ledger(ledger, image, self.network.now_s)
+
+    def kill(self) -> None:
+        """Ends the process at once; its connections close."""
+        self.core = None
+        for request_id in list(self._works):
+            self._stop(request_id)
+
+    def stop(self) -> None:
+        """Begins a planned stop."""
+        self._perform(self.core.stop(self.network.now_s))
+
+    def hand_over(self) -> bytes:
+        """Ends the process after a planned stop; returns the ledger."""
+        image = export_ledger(self.core.ledger, self.network.now_s)
+        self.core = None
+        self.is_handing_over = True
+        return image
+
+    def kill_target(self) -> None:
+        """Ends the target; requests that it ran are broken off."""
+        now_s = self.network.now_s
+        for request_id in list(self._works):
+            self._break(request_id)
+        self.model.turn_cold(now_s)
+
+    def receive(self, datagram: Datagram, now_s: float) -> None:
+        """Takes a datagram of a caller."""
+        if self.core is None:
+            return
+        message = decode_frame(datagram.payload)
+        if isinstance(message, Open):
+            self._open(datagram.sender, now_s)
+        elif datagram.sender in self.flows:
+            reader = readers.get(type(message).__name__)
+            actions = reader(self.core, message, datagram.sender, now_s)
+            self._perform(actions)
+        elif isinstance(message, Request):
+            verdict = Verdict(message.request_id, ResultCode.FLOW_LOST)
+            self._send(datagram.sender, verdict)
+
+    def tick(self) -> None:
+        """Lets the target work and the core see to its deadlines."""
+        now_s = self.network.now_s
+        for key in self.model.advance(now_s):
+            self._answer(bytes.fromhex(key), now_s)
+        while self.model.broken:
+            self._break(bytes.fromhex(self.model.broken.pop()))
+        for request_id, work in list(self._works.items()):
+            if work.rest is not None and not work.is_paused:
+                self._flow_on(work, request_id, now_s)
+        if self.core is not None:
+            self._perform(self.core.tick(now_s))
+
+    def _open(self, sender: Endpoint, now_s: float) -> None:
+        self.flows.add(sender)
+        reply = OpenReply(
+            ResultCode.DONE,
+            self.incarnation,
+            str(self.endpoint),
+            int(now_s * MS_PER_S),
+        )
+        self._send(sender, reply)
+
+    def _break(self, request_id: bytes) -> None:
+        self._stop(request_id)
+        now_s = self.network.now_s
+        if self.core is not None:
+            self._perform(
+                self.core.on_failure(request_id, now_s, was_sent=True),
+            )
+
+    def _perform(self, actions: list[RequestAction]) -> None:
+        for action in actions:
+            if isinstance(action, Reply):
+                self._send(action.caller, action.message)
+            else:
+                self._drive_target(action)
+
+    def _drive_target(self, action: RequestAction) -> None:
+        if isinstance(action, Run):
+            self._run(action)
+        elif isinstance(action, Stop):
+            self._stop(action.request_id)
+        elif not isinstance(action, Ended):
+            self._pace(action)
+
+    def _pace(self, action: Pause | Resume) -> None:
+        work = self._works.get(action.request_id)
+        if work is not None:
+            work.is_paused = isinstance(action, Pause)
+
+    def _run(self, action: Run) -> None:
+        # Connecting takes a moment: the core never hears back at once.
+        self.network.at(self.network.now_s, lambda: self._connect(action))
+
+    def _connect(self, action: Run) -> None:
+        now_s = self.network.now_s
+        request_id = action.request.request_id
+        if self.core is None:
+            return
+        if self.is_unreachable:
+            self._perform(
+                self.core.on_failure(request_id, now_s, was_sent=False),
+            )
+        elif self.model.start(request_id.hex(), self.work_s(), now_s):
+            self.truth.run(request_id)
+            self._works[request_id] = Work(action.request, now_s)
+        else:
+            self._perform(self.core.on_head(request_id, STATUS_SHED, now_s))
+
+    def _stop(self, request_id: bytes) -> None:
+        self.model.stop(request_id.hex())
+        self._works.pop(request_id, None)
+
+    def _answer(self, request_id: bytes, now_s: float) -> None:
+        work = self._works.get(request_id)
+        if work is None or self.core is None:
+            return
+        self.truth.finished += 1
+        self.truth.service_s += now_s - work.begun_s
+        size = int(work.request.path)
+        work.rest = answer_body(request_id, size)
+        self._perform(self.core.on_head(request_id, STATUS_DONE, now_s))
+
+    def _flow_on(
+        self,
+        work: Work,
+        request_id: bytes,
+        now_s: float,
+    ) -> None:
+        body = work.rest[:CHUNK_BYTES]
+        work.rest = work.rest[CHUNK_BYTES:]
+        self._perform(self.core.on_body(request_id, body))
+        if not work.rest:
+            self._works.pop(request_id)
+            self._perform(self.core.on_end(request_id, now_s))
+
+    def _send(self, peer: Endpoint, message: Any) -> None:
+        frame = encode_frame(caller, message)
+        datagram = Datagram(self.endpoint, frame)
+        self.network.send(self.endpoint, peer, datagram)
+
+
+Reader = Callable[
+    [RequestCore, Any, Endpoint, float],
+    list[RequestAction],
+]
+readers: Registry[Reader] = Registry('reader of caller messages')
+
+
+@readers.register('Request')
+def _read_request(
+    core: RequestCore, message: Request, peer: Endpoint, now_s: float
+) -> list[RequestAction]:
+    return core.on_request(message, peer, now_s)
+
+
+@readers.register('PartAsk')
+def _read_ask(
+    core: RequestCore, message: PartAsk, peer: Endpoint, now_s: float
+) -> list[RequestAction]:
+    return core.on_part_ask(message, peer, now_s)
+
+
+@readers.register('Cancel')
+def _read_cancel(
+    core: RequestCore, message: Cancel, peer: Endpoint, now_s: float
+) -> list[RequestAction]:
+    return core.on_cancel(message, peer, now_s)
+
+
+@readers.register('Acknowledge')
+def _read_acknowledge(
+    core: RequestCore, message: Acknowledge, _peer: Endpoint, _now_s: float
+) -> list[RequestAction]:
+    core.on_acknowledge(message)
+    return []
+
+
+@readers.register('CloseFlow')
+def _read_close(
+    _core: RequestCore, _message: CloseFlow, _peer: Endpoint, _now_s: float
+) -> list[RequestAction]:
+    return []
--- /dev/null
+++ b/lab/requestrun.py
@@ -0,0 +1,235 @@
+"""Randomised runs of ledgers and callers: faults of every kind, mixed."""
+
+import sys
+from random import Random
+
+from absl import app, flags
+from attrs import define, field
+from tabulate import tabulate
+
+from cumindrift.caller.budget import RetryBudget
+from cumindrift.caller.service import ServiceCaller
+from cumindrift.invariant import be_strict
+from cumindrift.log import set_up_logs
+from cumindrift.outcome import Outcome
+from cumindrift.registry import Registry
+from lab.network import VirtualNetwork
+from lab.requestagent import Truth, VirtualAgent
+from lab.requestworld import RequestWorld
+from standin.model import WorkModel
+
+_SEED = flags.DEFINE_integer('seed', 1, 'The first seed.')
+_SEEDS = flags.DEFINE_integer('seeds', 1, 'How many seeds to run.')
+_EVENTS = flags.DEFINE_integer('events', 200_000, 'Messages for each seed.')
+
+AGENT_COUNT = 4
+CALLER_COUNT = 6
+REQUESTS_PER_S = 50.0
+FAULT_PERIOD_S = 1.5
+WITHIN_S = 4.0
+WARM_S = 3.0
+WORK_S = 0.02
+DOWN_S = 0.5
+STOP_POLL_S = 0.05
+CANCEL_SHARE = 0.05
+SIZES = (0, 40, 40, 40, 900, 900, 6_000, 120_000)
+# Short ones make the ledger forget what still travels.
+KEPT_S = (300.0, 1.0, 3.0)
+ENTRIES_MAX = (50_000, 60)
+
+
+@define(slots=True, eq=False)
+class RequestRun:
+    """One seed: a world, its load and its faults."""
+
+    seed: int
+    event_count: int
+    faults: dict[str, int] = field(factory=dict)
+    world: RequestWorld = field(init=False)
+    _callers: list[ServiceCaller] = field(factory=list)
+    _sizes: dict[bytes, int] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        """Builds agents and callers."""
+        random = Random(self.seed)
+        network = VirtualNetwork(
+            random,
+            jitter_s=0.02,
+            loss_share=0.03,
+            double_share=0.05,
+        )
+        self.world = RequestWorld(
+            random, network, stray_share=0.01, late_share=0.03
+        )
+        for number in range(AGENT_COUNT):
+            speed = 1.0 + number % 3
+            model = WorkModel(4, speed, WARM_S, -WARM_S)
+            self.world.add_agent(
+                model,
+                self._work_s,
+                kept_s=KEPT_S[self.seed % len(KEPT_S)],
+                entries_max=ENTRIES_MAX[self.seed % len(ENTRIES_MAX)],
+            )
+        budget = RetryBudget()
+        for _ in range(CALLER_COUNT):
+            caller = self.world.make_caller(self._note, budget)
+            self._callers.append(caller)
+            network.every(STOP_POLL_S, caller.tick)
+
+    @property
+    def truth(self) -> Truth:
+        """What really happened."""
+        return self.world.truth
+
+    def run(self) -> None:
+        """Runs until the messages are used up, then lets things settle."""
+        network = self.world.network
+        self._load()
+        self._fault()
+        while network.sent_count < self.event_count:
+            network.run(network.now_s + 1.0)
+        self.event_count = 0
+        network.run(network.now_s + 3 * WITHIN_S)
+
+    @property
+    def unsettled_count(self) -> int:
+        """Requests whose caller was told nothing."""
+        return len(self._sizes)
+
+    def _work_s(self) -> float:
+        return WORK_S * (0.5 + self.world.random.random())
+
+    def _note(self, request_id: bytes, outcome: Outcome) -> None:
+        size = self._sizes.pop(request_id)
+        self.truth.settle(request_id, size, outcome)
+
+    def _load(self) -> None:
+        if not self.event_count:
+            return
+        random = self.world.random
+        network = self.world.network
+        size = random.choice(SIZES)
+        request = self.world.make_request(size)
+        self._sizes[request.request_id] = size
+        caller = random.choice(self._callers)
+        caller.request(request, WITHIN_S * random.random() + 0.1)
+        if random.random() < CANCEL_SHARE:
+            network.at(
+                network.now_s + random.random() * 0.2,
+                lambda: caller.cancel(request.request_id),
+            )
+        wait_s = random.expovariate(REQUESTS_PER_S)
+        network.at(network.now_s + wait_s, self._load)
+
+    def _fault(self) -> None:
+        if not self.event_count:
+            return
+        random = self.world.random
+        network = self.world.network
+        name = random.choice(faults.names())
+        agent = random.choice(self.world.agents)
+        if agent.core is not None:
+            self.faults[name] = self.faults.get(name, 0) + 1
+            faults.get(name)(agent, network)
+        wait_s = random.expovariate(1 / FAULT_PERIOD_S)
+        network.at(network.now_s + wait_s, self._fault)
+
+
+faults: Registry = Registry('fault')
+
+
+@faults.register('agent killed')
+def _kill_agent(agent: VirtualAgent, network: VirtualNetwork) -> None:
+    agent.kill()
+    network.at(network.now_s + DOWN_S, agent.start)
+
+
+@faults.register('agent replaced')
+def _replace_agent(agent: VirtualAgent, network: VirtualNetwork) -> None:
+    agent.flows.clear()
+    _kill_agent(agent, network)
+
+
+@faults.register('agent restarted as planned')
+def _restart_agent(agent: VirtualAgent, network: VirtualNetwork) -> None:
+    stopping = agent.core
+    agent.stop()
+
+    def poll() -> None:
+        if agent.core is not stopping:
+            return
+        if not stopping.has_stopped(network.now_s):
+            network.at(network.now_s + STOP_POLL_S, poll)
+            return
+        image = agent.hand_over()
+        network.at(network.now_s + DOWN_S, lambda: agent.start(image))
+
+    poll()
+
+
+@faults.register('target killed')
+def _kill_target(agent: VirtualAgent, _network: VirtualNetwork) -> None:
+    agent.kill_target()
+
+
+@faults.register('target turned cold')
+def _turn_cold(agent: VirtualAgent, network: VirtualNetwork) -> None:
+    agent.model.turn_cold(network.now_s)
+
+
+@faults.register('target unreachable')
+def _cut_target(agent: VirtualAgent, network: VirtualNetwork) -> None:
+    agent.is_unreachable = True
+
+    def mend() -> None:
+        agent.is_unreachable = False
+
+    network.at(network.now_s + DOWN_S, mend)
+
+
+def row(run: RequestRun) -> list[int]:
+    """Returns the figures of one run."""
+    truth = run.truth
+    total = sum(truth.outcomes.values())
+    return [
+        run.seed,
+        run.world.network.sent_count,
+        total,
+        truth.outcomes['DONE'],
+        truth.twice_count,
+        truth.false_not_run_count,
+        truth.mixed_count,
+        run.unsettled_count,
+        sum(run.faults.values()),
+    ]
+
+
+HEADERS = (
+    'seed',
+    'messages',
+    'requests',
+    'done',
+    'run twice',
+    'false not run',
+    'mixed or cut',
+    'unsettled',
+    'faults',
+)
+
+
+def _run(_arguments: list[str]) -> int:
+    set_up_logs('requestrun', 'text', 'ERROR')
+    be_strict()
+    rows = []
+    for seed in range(_SEED.value, _SEED.value + _SEEDS.value):
+        run = RequestRun(seed, _EVENTS.value)
+        run.run()
+        rows.append(row(run))
+        codes = sorted(run.truth.outcomes.items())
+        sys.stderr.write(f'{seed} {codes} {sorted(run.faults.items())}\n')
+    sys.stdout.write(f'{tabulate(rows, HEADERS, tablefmt="github")}\n')
+    return 0
+
+
+if __name__ == '__main__':
+    app.run(_run)
