--- a/cumindrift/traffic/admission.py
+++ b/cumindrift/traffic/admission.py
@@ -1,68 +1,21 @@
 """Admission: how much of its target an agent may use now."""
 
-from bisect import bisect_left
+from math import sqrt
 from random import Random
 
 from attrs import define, field
 
+from cumindrift.traffic.course import SAMPLES_MIN, Course
+
 COLD_CONCURRENCY = 1
-SMOOTHING = 1 / 16
 # A step up needs this share of the speed that the wider limit implies.
-STEP_SHARE = 0.9
-# And it must be held for this share of the time since the cold start.
-HOLD_SHARE = 0.25
-# Times have settled when they fell by less than this since the last
-# quarter of the time since the cold start.
-SETTLED_RATIO = 1.08
-SETTLED_SINCE_SHARE = 0.75
-FALL_RATIO = 2.0
-TRUST_AFTER_S = 30.0
+STEP_SHARE = 0.94
 BASELINE_DRIFT_S = 300.0
-SPREADS_TOLERATED = 4
-FIRST_SAMPLES = 4
+SPREADS_TOLERATED = 6
+SLOW_RATIO = 2.0
 BACKOFF_FIRST_S = 0.1
 BACKOFF_MAX_S = 2.0
 RESPONSE_MIN_S = 1e-6
-HISTORY_STEP_SHARE = 1 / 32
-
-
-@define(slots=True)
-class Course:
-    """How response times went since the target was last found cold."""
-
-    since_s: float
-    first_s: float = 0.0
-    recent_s: float = 0.0
-    spread_s: float = 0.0
-    sample_count: int = 0
-    _moments: list[float] = field(factory=list)
-    _times: list[float] = field(factory=list)
-
-    def add(self, elapsed_s: float, now_s: float) -> None:
-        """Takes one response time."""
-        self.sample_count += 1
-        weight = max(SMOOTHING, 1 / self.sample_count)
-        deviation_s = abs(elapsed_s - self.recent_s)
-        if self.sample_count > 1:
-            self.spread_s += weight * (deviation_s - self.spread_s)
-        self.recent_s += weight * (elapsed_s - self.recent_s)
-        if self.sample_count <= FIRST_SAMPLES:
-            self.first_s = self.recent_s
-        step_s = (now_s - self.since_s) * HISTORY_STEP_SHARE
-        if not self._moments or now_s - self._moments[-1] >= step_s:
-            self._moments.append(now_s)
-            self._times.append(self.recent_s)
-
-    def has_settled(self, now_s: float) -> bool:
-        """Tells whether response times no longer fall, as in a warm-up."""
-        age_s = now_s - self.since_s
-        then_s = self.since_s + age_s * SETTLED_SINCE_SHARE
-        index = bisect_left(self._moments, then_s) - 1
-        if index < 0 or self._times[index] > SETTLED_RATIO * self.recent_s:
-            return False
-        return (
-            age_s >= TRUST_AFTER_S or self.first_s >= FALL_RATIO * self.recent_s
-        )
 
 
 @define(slots=True)
@@ -71,9 +24,11 @@
 
     The limit is what a cold target bears until response times show more.
     A target's concurrency is taken to go with its speed: at half of the
-    speed of its calm baseline it is given half of its slots. One response
-    slower than the baseline allows, one refusal or one failed connection
-    puts the limit back to the floor at once.
+    speed of its calm baseline it is given half of its slots.
+
+    One response slower than the baseline allows holds it at the floor until
+    the next one, which clears it or confirms that the target is cold. One
+    refusal or one failed connection is enough.
     """
 
     slots: int
@@ -86,28 +41,34 @@
     blocked_until_s: float = 0.0
     cold_count: int = 0
     _course: Course | None = None
+    _full_s: float | None = None
+    # Samples in the baseline: it is their mean until it starts to drift.
+    _learned_count: int = 0
     _backoff_s: float = BACKOFF_FIRST_S
     _last_head_s: float = float('-inf')
     _waiting: dict[bytes, float] = field(factory=dict)
-    _held_since: dict[int, float] = field(factory=dict)
+    # The last response was too slow; the next one decides.
+    _is_suspect: bool = False
 
     def may_start(self, now_s: float) -> bool:
         """Tells whether one more request may go to the target."""
-        self.check(now_s)
-        if self.in_flight >= self.limit or now_s < self.blocked_until_s:
+        overdue_count = self.check(now_s)
+        is_suspect = self._is_suspect or overdue_count > 0
+        limit = COLD_CONCURRENCY if is_suspect else self.limit
+        if self.in_flight >= limit or now_s < self.blocked_until_s:
             return False
         if not self._waiting:
             return True
         # After a pause one request probes before others follow.
         return now_s - self._last_head_s <= self._tolerated_s()
 
-    def check(self, now_s: float) -> None:
-        """Notes a target that has answered nothing for too long."""
-        if self.limit == COLD_CONCURRENCY or not self._waiting:
-            return
-        age_s = now_s - next(iter(self._waiting.values()))
-        if age_s > self._tolerated_s():
-            self._turn_cold(now_s)
+    def check(self, now_s: float) -> int:
+        """Returns how many responses are overdue; two of them are enough."""
+        since_s = now_s - self._tolerated_s()
+        count = sum(begun_s < since_s for begun_s in self._waiting.values())
+        if count > 1 and self.limit > COLD_CONCURRENCY:
+            self._doubt(now_s)
+        return count
 
     def expected_s(self) -> float:
         """Returns the response time to expect now."""
@@ -126,9 +87,8 @@
         if started_s is None:
             return
         elapsed_s = max(RESPONSE_MIN_S, now_s - started_s)
-        is_slow = elapsed_s > self._tolerated_s()
-        if is_slow and self.limit > COLD_CONCURRENCY:
-            self._turn_cold(now_s)
+        if self.limit > COLD_CONCURRENCY and self.calm_s is not None:
+            self._judge(elapsed_s, now_s)
         self._course.add(elapsed_s, now_s)
         self._learn(now_s)
         self._widen(now_s)
@@ -161,10 +121,28 @@
             SPREADS_TOLERATED * self.spread_s,
         )
 
+    def _judge(self, elapsed_s: float, now_s: float) -> None:
+        is_slow = elapsed_s > self._tolerated_s()
+        is_slower = self._course.recent_s > SLOW_RATIO * self.calm_s
+        if is_slower or (is_slow and self._is_suspect):
+            self._doubt(now_s)
+        self._is_suspect = is_slow
+
+    def _doubt(self, now_s: float) -> None:
+        # Slow again before it was sure to be warm: the same cold start.
+        course = self._course
+        full_s = self._full_s
+        is_new = full_s is not None and now_s >= full_s + course.hold_s(full_s)
+        self._turn_cold(now_s)
+        if not is_new:
+            course.fresh_s = now_s
+            self._course = course
+
     def _turn_cold(self, now_s: float) -> None:
         self.cold_count += 1
         self.limit = COLD_CONCURRENCY
-        self._held_since.clear()
+        self._full_s = None
+        self._is_suspect = False
         self._course = Course(now_s)
 
     def _learn(self, now_s: float) -> None:
@@ -172,26 +150,32 @@
         has_settled = course.has_settled(now_s)
         if self.calm_s is None:
             if has_settled:
-                self.calm_s = course.recent_s
+                settled = course.mean_since(now_s - course.hold_s(now_s))
+                self.calm_s = settled.mean_s
                 self.spread_s = course.spread_s
+                self._learned_count = settled.count
             return
-        is_trusted = has_settled and now_s - course.since_s > TRUST_AFTER_S
-        if self.limit == self.slots or is_trusted:
-            gap_s = min(now_s - self._last_head_s, BASELINE_DRIFT_S)
-            weight = gap_s / BASELINE_DRIFT_S
-            self.calm_s += weight * (course.recent_s - self.calm_s)
-            self.spread_s += weight * (course.spread_s - self.spread_s)
+        is_calm = self.limit == self.slots and not self._is_suspect
+        if not is_calm and not has_settled:
+            return
+        self._learned_count += 1
+        gap_s = min(now_s - self._last_head_s, BASELINE_DRIFT_S)
+        weight = max(gap_s / BASELINE_DRIFT_S, 1 / self._learned_count)
+        self.calm_s += weight * (course.recent_s - self.calm_s)
+        self.spread_s += weight * (course.spread_s - self.spread_s)
 
     def _widen(self, now_s: float) -> None:
-        if self.calm_s is None:
-            return
         course = self._course
-        bearable = self.slots * self.calm_s / course.recent_s
-        hold_s = (now_s - course.since_s) * HOLD_SHARE
-        for step in range(self.limit + 1, self.slots + 1):
-            if bearable < STEP_SHARE * step:
-                self._held_since.pop(step, None)
-                continue
-            since_s = self._held_since.setdefault(step, now_s)
-            if now_s - since_s >= hold_s and step == self.limit + 1:
-                self.limit = step
+        if self.calm_s is None or self.limit == self.slots:
+            return
+        from_s = now_s - course.hold_s(now_s)
+        seen = course.mean_since(from_s)
+        if from_s < course.fresh_s or seen.count < SAMPLES_MIN:
+            return
+        # The few response times seen may have been lucky ones.
+        doubt_s = self.spread_s / sqrt(seen.count)
+        bearable = self.slots * self.calm_s / (seen.mean_s + doubt_s)
+        if bearable >= STEP_SHARE * (self.limit + 1):
+            self.limit += 1
+        if self.limit == self.slots:
+            self._full_s = now_s
--- a/cumindrift/traffic/ledger.py
+++ b/cumindrift/traffic/ledger.py
@@ -166,6 +166,20 @@
         """Returns a birth time on the own clock."""
         return born_ms / MS_PER_S + self.epochs[incarnation]
 
+    def note_birth(
+        self,
+        entry: Entry,
+        incarnation: int,
+        born_ms: int,
+    ) -> None:
+        """Notes a later birth of an id: it was tried again in a new flow.
+
+        Forgetting the entry then raises the floor above all its births.
+        """
+        if incarnation in self.epochs:
+            born_s = self.born_s(incarnation, born_ms)
+            entry.born_s = max(entry.born_s, born_s)
+
     def add(self, entry: Entry) -> None:
         """Remembers a new id."""
         self.entries[entry.request_id] = entry
--- a/cumindrift/traffic/request.py
+++ b/cumindrift/traffic/request.py
@@ -70,6 +70,7 @@
         entry = self.ledger.entries.get(request.request_id)
         if entry is not None:
             entry.turn_to(caller, request.transmission)
+            self.ledger.note_birth(entry, request.incarnation, request.born_ms)
             return answer_again(entry, caller)
         code = self._refusal(request, now_s)
         if code is not None:
@@ -120,6 +121,7 @@
         entry = self.ledger.entries.get(cancel.request_id)
         if entry is None:
             return self._cancel_unseen(cancel, caller, now_s)
+        self.ledger.note_birth(entry, cancel.incarnation, cancel.born_ms)
         if entry.state is EntryState.QUEUED:
             return self._forbid(entry, ResultCode.CANCELLED, now_s)
         if entry.state is EntryState.RUNNING:
--- a/features/builders/request.py
+++ b/features/builders/request.py
@@ -145,6 +145,13 @@
     return bench.core.on_request(message, CALLER, bench.now_s)
 
 
+@words.register('reborn')
+def _reborn(bench, name='a'):
+    born_ms = int(bench.born_s * 1000) + 10_000
+    message = bench.request(name, born_ms=born_ms, attempt=2)
+    return bench.core.on_request(message, CALLER, bench.now_s)
+
+
 @words.register('malformed')
 def _malformed(bench):
     message = bench.request('far-too-long-for-a-request-id')
--- a/features/ledger.feature
+++ b/features/ledger.feature
@@ -32,6 +32,11 @@
       | request, wait 299, answer, wait 299, request | part 0         | 1    |
       | request, wait 299, answer, wait 301, request | ID_EXPIRED     | 1    |
 
+    Examples: ids tried again in another flow, born later
+      | script                                    | replies           | runs |
+      | request, unreached, wait 10, reborn       | NOT_SENT          | 1    |
+      | request, unreached, wait 10, reborn, wait 291, reborn | ID_EXPIRED | 1 |
+
     Examples: cancels
       | script                                    | replies           | runs |
       | cancel, request                           | CANCELLED         | 0    |
--- /dev/null
+++ b/features/steps/admission_steps.py
@@ -0,0 +1,69 @@
+"""Steps of the admission feature."""
+
+from behave import given, then, when
+
+from features.builders.admission import (
+    NOW_S,
+    allowed_count,
+    cold_run,
+    signs,
+    warm_admission,
+)
+
+
+@given(
+    'a target that warms up in 2 seconds, is cold by {way} and limited by '
+    '{limit}'
+)
+def step_cold(context, way, limit):
+    context.way = way
+    context.limit = limit
+
+
+@when('it is under full load for 4 ramps from seed {seed:d}')
+def step_load(context, seed):
+    context.run = cold_run(context.way, context.limit, seed)
+
+
+@then('admission started {count:d} requests above what it bore')
+def step_excess(context, count):
+    assert context.run.model.excess_count == count, context.run
+
+
+@then('the target fell over {count:d} more times')
+def step_fell(context, count):
+    caused = context.run.model.fall_count - (context.way == 'fall')
+    assert caused == count, context.run.model
+
+
+@then('the target fell over more than {count:d} times')
+def step_fell_often(context, count):
+    assert context.run.model.fall_count > count, context.run.model
+
+
+@then('admission used all slots within {ramps:d} ramps')
+def step_full(context, ramps):
+    run = context.run
+    ramp_s = run.full_s - run.model.cold_since_s
+    assert ramp_s <= ramps * run.model.warm_s, ramp_s
+
+
+@given('admission to a warm target with all slots in use')
+def step_warm(context):
+    context.admission = warm_admission()
+    context.now_s = NOW_S
+
+
+@when('its admission sees {sign}')
+def step_sees(context, sign):
+    signs.get(sign)(context.admission)
+
+
+@when('admission waits {seconds:d} seconds')
+def step_waits(context, seconds):
+    context.now_s += seconds
+
+
+@then('admission allows {count:d} requests at once')
+def step_allows(context, count):
+    assert allowed_count(context.admission, context.now_s) == count
--- /dev/null
+++ b/lab/requestwarm.py
@@ -0,0 +1,273 @@
+"""Cold targets under a full load: what admission gives them, and when."""
+
+import sys
+from collections.abc import Callable
+from itertools import product
+from random import Random
+from typing import Protocol
+
+from absl import app, flags
+from attrs import define, field
+from tabulate import tabulate
+
+from cumindrift.registry import Registry
+from cumindrift.traffic.admission import Admission
+from standin.model import WorkModel
+
+STEP_S = 0.001
+SLOTS = 4
+TURN_AFTER_RAMPS = 6.0
+TURN_MIN_S = 60.0
+RUN_AFTER_RAMPS = 4.0
+
+
+class Limiter(Protocol):
+    """What decides whether one more request may start."""
+
+    def may_start(self, now_s: float) -> bool:
+        """Tells whether one more request may start."""
+
+    def on_start(self, request_id: bytes, now_s: float) -> None:
+        """Takes a start."""
+
+    def on_head(self, request_id: bytes, now_s: float) -> None:
+        """Takes a response."""
+
+    def on_over(self, request_id: bytes) -> None:
+        """Takes the end of a request."""
+
+    def on_bad(self, now_s: float) -> None:
+        """Takes a failure."""
+
+
+LimiterMaker = Callable[[WorkModel, Random], Limiter]
+limiters: Registry[LimiterMaker] = Registry('limiter')
+
+
+@limiters.register('admission')
+def _make_admission(model: WorkModel, random: Random) -> Limiter:
+    return Admission(model.slots, random)
+
+
+@limiters.register('all slots')
+@define(slots=True)
+class AllSlots:
+    """Always gives the target all of its slots: the baseline."""
+
+    model: WorkModel
+    random: Random
+
+    def may_start(self, now_s: float) -> bool:
+        """Tells whether a slot is free."""
+        return self.model.running < self._bound(now_s)
+
+    def on_start(self, request_id: bytes, now_s: float) -> None:
+        """Learns nothing."""
+
+    def on_head(self, request_id: bytes, now_s: float) -> None:
+        """Learns nothing."""
+
+    def on_over(self, request_id: bytes) -> None:
+        """Learns nothing."""
+
+    def on_bad(self, now_s: float) -> None:
+        """Learns nothing."""
+
+    def _bound(self, _now_s: float) -> int:
+        return self.model.slots
+
+
+@limiters.register('perfect ramp')
+@define(slots=True)
+class PerfectRamp(AllSlots):
+    """Knows what the target bears: the best that there could be."""
+
+    def _bound(self, now_s: float) -> int:
+        return self.model.bearable(now_s)
+
+
+@define(slots=True, eq=False)
+class WarmRun:
+    """One target under a load that never ends."""
+
+    limiter_name: str
+    model: WorkModel
+    work_s: Callable[[], float]
+    random: Random
+    now_s: float = 0.0
+    last_excess_s: float | None = None
+    limiter: Limiter = field(init=False)
+    # When as many requests ran at once as the target has slots.
+    full_s: float | None = None
+    done_count: int = 0
+    _number: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Builds the limiter."""
+        make = limiters.get(self.limiter_name)
+        self.limiter = make(self.model, self.random)
+
+    def run(self, until_s: float) -> None:
+        """Runs up to a moment."""
+        while self.now_s < until_s:
+            self.now_s += STEP_S
+            self._step()
+
+    def mark(self) -> None:
+        """Begins to count afresh."""
+        self.full_s = None
+        self.last_excess_s = None
+        self.done_count = 0
+        self.model.excess_count = 0
+        self.model.fall_count = 0
+
+    def _step(self) -> None:
+        now_s = self.now_s
+        for key in self.model.advance(now_s):
+            self.done_count += 1
+            self.limiter.on_head(key.encode(), now_s)
+            self.limiter.on_over(key.encode())
+        for _ in range(self.model.slots):
+            if not self.limiter.may_start(now_s):
+                break
+            self._start(now_s)
+        while self.model.broken:
+            self.limiter.on_over(self.model.broken.pop().encode())
+        is_full = self.model.running == self.model.slots
+        if is_full and self.full_s is None and self._is_warm():
+            self.full_s = now_s
+
+    def _is_warm(self) -> bool:
+        return self.model.bearable(self.now_s) == self.model.slots
+
+    def _start(self, now_s: float) -> None:
+        self._number += 1
+        key = str(self._number)
+        excess_before = self.model.excess_count
+        self.limiter.on_start(key.encode(), now_s)
+        if not self.model.start(key, self.work_s(), now_s):
+            self.limiter.on_bad(now_s)
+            self.limiter.on_over(key.encode())
+        if self.model.excess_count > excess_before:
+            self.last_excess_s = now_s
+
+
+@define(frozen=True, slots=True)
+class Case:
+    """A way of being cold and the target's measures."""
+
+    name: str
+    warm_s: float
+    work_s: float
+    spread: str
+
+
+WAYS = ('start', 'silent turn', 'fall')
+# Warm-up and mean work of a request, in seconds.
+MEASURES = ((2.0, 0.02), (10.0, 0.1), (30.0, 0.1))
+CASES = tuple(
+    Case(name, *measures, spread)
+    for name, measures, spread in product(
+        WAYS,
+        MEASURES,
+        ('even', 'exponential'),
+    )
+)
+
+spreads: Registry[Callable[[Random, float], float]] = Registry('spread')
+
+
+@spreads.register('even')
+def _draw_even(random: Random, mean_s: float) -> float:
+    return mean_s * (0.5 + random.random())
+
+
+@spreads.register('exponential')
+def _draw_exponential(random: Random, mean_s: float) -> float:
+    return random.expovariate(1 / mean_s)
+
+
+def run_case(case: Case, limiter_name: str, seed: int) -> WarmRun:
+    """Returns a run of one case, counted from the cold start on."""
+    random = Random(seed)
+    model = WorkModel(SLOTS, 1.0, case.warm_s, 0.0)
+    draw = spreads.get(case.spread)
+    run = WarmRun(
+        limiter_name,
+        model,
+        lambda: draw(random, case.work_s),
+        random,
+    )
+    if case.name != 'start':
+        run.run(max(TURN_MIN_S, TURN_AFTER_RAMPS * case.warm_s))
+        run.mark()
+        model.turn_cold(run.now_s)
+    if case.name == 'fall':
+        model.collapse(run.now_s)
+    run.run(model.cold_since_s + RUN_AFTER_RAMPS * case.warm_s)
+    return run
+
+
+def row(case: Case, limiter_name: str, runs: list[WarmRun]) -> list[object]:
+    """Returns the figures of the runs of one case."""
+    ramps = [
+        (run.full_s - run.model.cold_since_s) / case.warm_s
+        for run in runs
+        if run.full_s is not None
+    ]
+    last = [
+        run.last_excess_s - run.model.cold_since_s
+        for run in runs
+        if run.last_excess_s is not None
+    ]
+    return [
+        case.name,
+        case.warm_s,
+        case.work_s,
+        case.spread,
+        limiter_name,
+        sum(run.model.excess_count for run in runs),
+        max(last, default=None),
+        sum(run.model.fall_count for run in runs),
+        max(ramps, default=None) if len(ramps) == len(runs) else 'never',
+        sum(run.done_count for run in runs),
+    ]
+
+
+HEADERS = (
+    'cold by',
+    'warm_s',
+    'work_s',
+    'times',
+    'limit by',
+    'excess starts',
+    'last after s',
+    'falls',
+    'full after ramps',
+    'done',
+)
+
+
+def _seeds() -> range:
+    first = flags.FLAGS.seed
+    return range(first, first + flags.FLAGS.seeds)
+
+
+def _run(_arguments: list[str]) -> int:
+    rows = []
+    for case in CASES:
+        for name in limiters.names():
+            seeds = range(
+                flags.FLAGS.seed, flags.FLAGS.seed + flags.FLAGS.seeds
+            )
+            runs = [run_case(case, name, seed) for seed in seeds]
+            rows.append(row(case, name, runs))
+    table = tabulate(rows, HEADERS, tablefmt='github', floatfmt='.2f')
+    sys.stdout.write(f'{table}\n')
+    return 0
+
+
+if __name__ == '__main__':
+    flags.DEFINE_integer('seed', 1, 'The first seed.')
+    flags.DEFINE_integer('seeds', 5, 'How many seeds to run.')
+    app.run(_run)
