Caller features; refusals and part asks of sessions mended

Found: a refusal whose number equalled the empty 'left' incarnation was taken for a stale one; a session asked for parts right after the first part of every longer answer. Change: only an acceptance can be stale; the first window is the agent's. Conclusion: done.

--- a/cumindrift/caller/message.py
+++ b/cumindrift/caller/message.py
@@ -10,6 +10,8 @@
 
 PART_BODY_BYTES = 1100
 REQUEST_ID_BYTES = 16
+# An agent sends this many parts without being asked for them.
+PUSH_PARTS = 16
 MS_PER_S = 1000
 
 
--- a/cumindrift/caller/pending.py
+++ b/cumindrift/caller/pending.py
@@ -5,6 +5,7 @@
 from cumindrift.caller.answer import Assembly
 from cumindrift.caller.message import (
     MS_PER_S,
+    PUSH_PARTS,
     Acknowledge,
     Cancel,
     PartAsk,
@@ -27,7 +28,7 @@
     is_sent: bool = False
     is_cancelled: bool = False
     assembly: Assembly = field(factory=Assembly)
-    asked_until: int = 0
+    asked_until: int = PUSH_PARTS
     # Transmissions to which a process answered that it lacks the flow.
     lost_transmissions: set[int] = field(factory=set)
 
@@ -76,9 +77,8 @@
 
     def is_window_low(self) -> bool:
         """Whether it is time to ask for more parts."""
-        half = WINDOW_PARTS // 2
-        wanted = max(self.asked_until, half + 1)
-        return self.assembly.next_number + half >= wanted
+        remaining = self.asked_until - self.assembly.next_number
+        return remaining <= min(WINDOW_PARTS, self.asked_until) // 2
 
     def late_outcome(self) -> Outcome:
         """Returns what is known when the time is over."""
--- a/cumindrift/caller/session.py
+++ b/cumindrift/caller/session.py
@@ -169,12 +169,13 @@
         return encode_frame(caller, pending.ask())
 
     def _on_open_reply(self, reply: OpenReply, now_s: float) -> list[bytes]:
-        is_stale = reply.incarnation == self._left_incarnation
-        if self.is_open or is_stale:
+        if self.is_open:
             return []
         if reply.code != ResultCode.DONE:
             self._refuse(ResultCode(reply.code))
             return []
+        if reply.incarnation == self._left_incarnation:
+            return []
         self.incarnation = reply.incarnation
         self.agent = reply.agent
         self.refusal = None
--- a/cumindrift/traffic/ledger.py
+++ b/cumindrift/traffic/ledger.py
@@ -7,7 +7,12 @@
 from attrs import define, field
 
 from cumindrift.address import Endpoint
-from cumindrift.caller.message import MS_PER_S, PART_BODY_BYTES, Request
+from cumindrift.caller.message import (
+    MS_PER_S,
+    PART_BODY_BYTES,
+    PUSH_PARTS,
+    Request,
+)
 from cumindrift.code import ResultCode
 
 ENTRY_KEPT_S = 300.0
@@ -16,7 +21,6 @@
 CLOCK_SLACK_S = 1.0
 # An adopted clock reads ahead by the time that the hand-over took.
 ADOPTED_SLACK_S = 60.0
-PUSH_PARTS = 16
 INCARNATION_BITS = 64
 
 
