--- a/cumindrift/membership/detector.py
+++ b/cumindrift/membership/detector.py
@@ -110,6 +110,11 @@
         watch.next_s = max(asked_s + PROBE_PERIOD_S, now_s)
         return True
 
+    @property
+    def is_waiting(self) -> bool:
+        """Tells whether an answer is awaited."""
+        return any(watch.awaits_ack for watch in self.watches.values())
+
     def due(self, now_s: float) -> list[tuple[int, Step]]:
         """Returns what is due now."""
         return [
--- a/cumindrift/membership/gossip.py
+++ b/cumindrift/membership/gossip.py
@@ -28,6 +28,12 @@
 GOSSIP_FANOUT = 3
 ANNOUNCE_FANOUT = 6
 HELPER_COUNT = 3
+
+# A few pieces of news are passed on as they come; more wait for the tick,
+# so that a message carries many.
+TELL_AT_ONCE_MAX = 4
+TELL_GAP_S = 0.05
+
 SYNC_PERIOD_S = 5.0
 JOIN_PERIOD_S = 0.5
 
@@ -58,6 +64,7 @@
     # True once a comparison with a peer found next to no difference.
     is_joined: bool = False
     heard_s: float = float('-inf')
+    _told_s: float = float('-inf')
     _sync_s: float = 0.0
     _sync_count: int = 0
 
@@ -71,6 +78,11 @@
         """Tells whether a later process of the same name was met."""
         return self.beliefs.is_superseded
 
+    @property
+    def is_busy(self) -> bool:
+        """Tells whether the next tick should come soon."""
+        return bool(self.beliefs.rumours) or self.detector.is_waiting
+
     @property
     def sender(self) -> Sender:
         """Returns how this process names itself in messages."""
@@ -96,9 +108,12 @@
         if self.is_superseded:
             return []
         self.heard_s = now_s
+        added_count = self.beliefs.rumours.added_count
         handle = receivers.get(type(message).__name__)
         actions = handle(self, message, now_s)
         self._follow_me()
+        if self.beliefs.rumours.added_count > added_count:
+            actions += self._tell_at_once(now_s)
         return actions
 
     def on_data_centres_out(self, names: frozenset[str]) -> None:
@@ -221,6 +236,13 @@
             actions.append(self.send(partner.endpoint, gossip))
         return actions
 
+    def _tell_at_once(self, now_s: float) -> list[SendMessage]:
+        is_soon = now_s < self._told_s + TELL_GAP_S
+        if is_soon or len(self.beliefs.rumours) > TELL_AT_ONCE_MAX:
+            return []
+        self._told_s = now_s
+        return self._tell(GOSSIP_FANOUT, now_s)
+
     def _compare(self, now_s: float) -> list[SendMessage]:
         if now_s < self._sync_s or self.me.is_gone:
             return []
@@ -249,10 +271,14 @@
     def _partners(self, count: int) -> list[Member]:
         table = self.beliefs.table
         size = len(table.ring)
-        numbers = self.random.sample(range(size), min(count + 1, size))
-        chosen = [table.live[table.ring[number]] for number in numbers]
+        numbers = self.random.sample(range(size), min(2 * count + 1, size))
+        chosen = [table.ring[number] for number in numbers]
+        # Silent members come last: what they are sent is mostly lost.
+        chosen.sort(key=self.beliefs.guard.suspicions.__contains__)
         return [
-            member for member in chosen if member.member_id != self.me.member_id
+            table.live[member_id]
+            for member_id in chosen
+            if member_id != self.me.member_id
         ][:count]
 
     def _publish_changes(self) -> None:
--- a/cumindrift/membership/rumour.py
+++ b/cumindrift/membership/rumour.py
@@ -12,13 +12,14 @@
 # 1,400 bytes.
 NEWS_COUNT_MAX = 40
 CLAIM_BYTES = 24
+MESSAGE_BYTES = 280
 
 TRANSMIT_BASE = 4
 TRANSMIT_FACTOR = 2
 
 RUMOUR_S = 15.0
-RATE_BYTES_PER_S = 12_000.0
-BURST_BYTES = 48_000.0
+RATE_BYTES_PER_S = 8000.0
+BURST_BYTES = 64_000.0
 
 
 @define(slots=True)
@@ -48,6 +49,8 @@
     _rumours: dict[tuple[int, bool], Rumour] = field(factory=dict)
     # The same by sends left, so that no choice looks at all of them.
     _levels: dict[int, dict[tuple[int, bool], Rumour]] = field(factory=dict)
+    # Goes up with each new piece of news.
+    added_count: int = 0
     _allowance_bytes: float = BURST_BYTES
     _filled_s: float = 0.0
 
@@ -82,12 +85,12 @@
             self._allowance_bytes + gained_bytes,
             BURST_BYTES,
         )
-        if self._allowance_bytes < CLAIM_BYTES * NEWS_COUNT_MAX:
+        if self._allowance_bytes < MESSAGE_BYTES:
             return NO_NEWS
         chosen = self._choose(now_s)
         if not chosen:
             return NO_NEWS
-        self._allowance_bytes -= CLAIM_BYTES * len(chosen)
+        self._allowance_bytes -= MESSAGE_BYTES + CLAIM_BYTES * len(chosen)
         for rumour in chosen:
             self._count_down(rumour)
         return News(
@@ -124,6 +127,7 @@
             if known.claim.rank >= claim.rank:
                 return
             self._drop(known)
+        self.added_count += 1
         self._rumours[rumour.key] = rumour
         self._levels.setdefault(rumour.sends_left, {})[rumour.key] = rumour
 
--- a/cumindrift/membership/supervisor.py
+++ b/cumindrift/membership/supervisor.py
@@ -11,6 +11,7 @@
 from cumindrift.ticker import Ticker
 
 TICK_PERIOD_S = 0.1
+IDLE_TICK_PERIOD_S = 0.25
 
 
 def report_superseded(member: Member) -> None:
@@ -29,10 +30,11 @@
         if core.is_superseded and not was_superseded:
             report_superseded(core.me)
 
-    def tick() -> None:
+    def tick() -> bool:
         context.send_all(core.tick(context.clock()))
         MEMBERS.set(len(core.view.members))
         MEMBERS_HELD.set(len(core.view.suspects))
+        return core.is_busy
 
     context.receivers[membership.number] = receive
     return Supervisor(
@@ -40,7 +42,12 @@
         [
             ChildSpec(
                 'beacon',
-                lambda: Ticker('beacon', TICK_PERIOD_S, tick),
+                lambda: Ticker(
+                    'beacon',
+                    TICK_PERIOD_S,
+                    tick,
+                    IDLE_TICK_PERIOD_S,
+                ),
             ),
         ],
     )
--- a/cumindrift/metric.py
+++ b/cumindrift/metric.py
@@ -34,6 +34,10 @@
     'Invariants found violated; any count is a fault of the program.',
     ('invariant',),
 )
+LOG_LINES_DROPPED = Counter(
+    'cumindrift_log_lines_dropped',
+    'Log lines kept back because their source line logged too often.',
+)
 FLOWS_HELD = Gauge(
     'cumindrift_flows_held',
     'Flows that this agent holds.',
@@ -67,3 +71,19 @@
     'Requests by result code name.',
     ('team', 'service', 'code'),
 )
+SERVICE_SECONDS = Histogram(
+    'cumindrift_service_seconds',
+    'Time that a request spent at its target.',
+    _TENANT_LABELS,
+    buckets=_DURATION_BUCKETS_S,
+)
+REQUESTS_RECEIVED = Counter(
+    'cumindrift_requests_received',
+    'Requests received: first attempts, retries, copies of either.',
+    ('team', 'service', 'kind'),
+)
+GOODPUT = Counter(
+    'cumindrift_goodput',
+    'Requests whose answer was complete before their deadline.',
+    _TENANT_LABELS,
+)
