Membership answers are generated lazily; ranks of records are asserted

Cause: re-reading found the answer to a digest built twice, a list of wanted records without a bound, and no assertion that a record only goes up.

--- a/cumindrift/membership/belief.py
+++ b/cumindrift/membership/belief.py
@@ -11,6 +11,7 @@
 
 # How long a record that was asked for is not asked for again.
 WANT_RETRY_S = 0.3
+WANTED_MAX = 4096
 
 # How often a doubted process announces itself anew.
 REFUTE_PERIOD_S = 0.5
@@ -115,6 +116,8 @@
             if self.table.take_claim(claim, now_s) is Taken.NEW:
                 self._pass_on(claim, now_s)
         self.table.forget(now_s)
+        if len(self._wanted_s) > WANTED_MAX:
+            self._wanted_s.clear()
 
     def _hold(self, claim: Claim, now_s: float) -> bool:
         member = self.table.live.get(claim.member_id)
--- a/cumindrift/membership/exchange.py
+++ b/cumindrift/membership/exchange.py
@@ -1,6 +1,7 @@
 """Anti-entropy: what two members send each other to become equal."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+from itertools import chain, islice
 from struct import error as struct_error
 from struct import pack, unpack
 
@@ -57,21 +58,16 @@
     it compares itself.
     """
     differing = differing_buckets(table, sums)
-    ordered = [bucket for bucket in differing if bucket >= start]
-    ordered += [bucket for bucket in differing if bucket < start]
-    bare = [bucket for bucket in ordered if not sums[bucket]]
-    answers: list[Records | Listing] = []
-    for bucket in bare:
-        answers += records_of(sender, table.between(*bucket_range(bucket)))
-        if len(answers) >= ANSWER_MESSAGES_MAX:
-            return _joined(sender, answers)
-    answers = _joined(sender, answers)
-    for bucket in ordered:
-        if len(answers) >= ANSWER_MESSAGES_MAX:
-            return answers
-        if sums[bucket]:
-            answers += _listings(table, sender, bucket)
-    return answers
+    differing.sort(key=lambda bucket: (bucket - start) % BUCKET_COUNT)
+    bare = [bucket for bucket in differing if not sums[bucket]]
+    wanted = chain.from_iterable(
+        table.between(*bucket_range(bucket)) for bucket in bare
+    )
+    listings = chain.from_iterable(
+        _listings(table, sender, bucket) for bucket in differing if sums[bucket]
+    )
+    answers = chain(records_of(sender, wanted), listings)
+    return list(islice(answers, ANSWER_MESSAGES_MAX))
 
 
 def newer_here(
@@ -96,18 +92,22 @@
     return records, deaths
 
 
-def records_of(sender: Sender, members: Iterable[Member]) -> list[Records]:
+def records_of(
+    sender: Sender,
+    members: Iterable[Member],
+) -> Iterator[Records]:
     """Parts records into messages of bounded size."""
-    parts: list[list[Member]] = []
-    room_bytes = 0
+    part: list[Member] = []
+    room_bytes = RECORDS_BYTES_MAX
     for member in members:
-        size_bytes = record_bytes(member)
-        room_bytes -= size_bytes
-        if room_bytes < 0:
-            parts.append([])
-            room_bytes = RECORDS_BYTES_MAX - size_bytes
-        parts[-1].append(member)
-    return [Records(sender, tuple(part)) for part in parts]
+        room_bytes -= record_bytes(member)
+        if room_bytes < 0 and part:
+            yield Records(sender, tuple(part))
+            part = []
+            room_bytes = RECORDS_BYTES_MAX - record_bytes(member)
+        part.append(member)
+    if part:
+        yield Records(sender, tuple(part))
 
 
 def record_bytes(member: Member) -> int:
@@ -126,14 +126,6 @@
     )
 
 
-def _joined(sender: Sender, answers: list[Records]) -> list[Records]:
-    """Fills messages up that hold one small bucket each."""
-    return records_of(
-        sender,
-        (member for records in answers for member in records.members),
-    )
-
-
 def _listings(
     table: MemberTable,
     sender: Sender,
--- a/cumindrift/membership/gossip.py
+++ b/cumindrift/membership/gossip.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable, Iterable
 from random import Random
-from typing import Any
 
 from attrs import define, evolve, field
 
@@ -144,10 +143,6 @@
         self._publish_changes()
         return actions
 
-    def send(self, peer: Endpoint, message: Any) -> SendMessage:
-        """Returns the action that sends a message to a peer."""
-        return SendMessage(peer, message)
-
     def digest(self, *, wants_digest: bool) -> Digest:
         """Returns the digest of what this process believes."""
         sums = pack_sums(self.beliefs.table)
@@ -207,7 +202,7 @@
             watch.is_doubted,
             self.beliefs.rumours.take(now_s),
         )
-        return self.send(member.endpoint, ping)
+        return SendMessage(member.endpoint, ping)
 
     def _ask_helpers(self, member: Member) -> list[SendMessage]:
         watch = self.detector.watches[member.member_id]
@@ -219,7 +214,7 @@
             watch.is_doubted,
         )
         return [
-            self.send(helper.endpoint, request)
+            SendMessage(helper.endpoint, request)
             for helper in self._partners(HELPER_COUNT)
             if helper.member_id != member.member_id
         ]
@@ -233,7 +228,7 @@
             if news is NO_NEWS:
                 return actions
             gossip = Gossip(self.sender, news)
-            actions.append(self.send(partner.endpoint, gossip))
+            actions.append(SendMessage(partner.endpoint, gossip))
         return actions
 
     def _tell_at_once(self, now_s: float) -> list[SendMessage]:
@@ -254,7 +249,7 @@
             peers += self._far_peers()
         digest = self.digest(wants_digest=not self.is_joined)
         return [
-            self.send(peer, digest)
+            SendMessage(peer, digest)
             for peer in peers
             if peer != self.me.endpoint
         ]
--- a/cumindrift/membership/receive.py
+++ b/cumindrift/membership/receive.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from itertools import islice
 from typing import TYPE_CHECKING, Any
 
 from attrs import evolve
@@ -67,7 +68,7 @@
         core.beliefs.me.claim(),
         core.beliefs.rumours.take(now_s),
     )
-    return [*actions, core.send(ping.sender.endpoint, ack)]
+    return [*actions, SendMessage(ping.sender.endpoint, ack)]
 
 
 @receivers.register('Ack')
@@ -78,7 +79,7 @@
     actions = take_news(core, ack.sender, news, now_s)
     if ack.origin != core.me.endpoint:
         onward = evolve(ack, sender=core.sender, news=News())
-        return [*actions, core.send(ack.origin, onward)]
+        return [*actions, SendMessage(ack.origin, onward)]
     member_id = ack.subject.member_id
     if not core.detector.on_ack(member_id, ack.sequence, now_s):
         DROPS.labels(ResultCode.MESSAGE_STALE.name).inc()
@@ -101,7 +102,7 @@
         core.beliefs.rumours.take(now_s),
     )
     actions = take_news(core, request.sender, News(), now_s)
-    return [*actions, core.send(request.target, ping)]
+    return [*actions, SendMessage(request.target, ping)]
 
 
 @receivers.register('Gossip')
@@ -138,7 +139,7 @@
     if digest.wants_digest:
         answers.append(core.digest(wants_digest=False))
     peer = digest.sender.endpoint
-    return [*actions, *(core.send(peer, answer) for answer in answers)]
+    return [*actions, *(SendMessage(peer, answer) for answer in answers)]
 
 
 @receivers.register('Listing')
@@ -152,12 +153,11 @@
     actions = take_news(core, listing.sender, news, now_s)
     records, deaths = newer_here(core.beliefs.table, listing)
     peer = listing.sender.endpoint
-    answers: list[Any] = records_of(core.sender, records)
+    answers = islice(records_of(core.sender, records), ANSWER_MESSAGES_MAX)
+    actions += [SendMessage(peer, answer) for answer in answers]
     if deaths:
-        answers.append(Gossip(core.sender, News(tuple(deaths))))
-    actions += [
-        core.send(peer, answer) for answer in answers[:ANSWER_MESSAGES_MAX]
-    ]
+        gossip = Gossip(core.sender, News(tuple(deaths)))
+        actions.append(SendMessage(peer, gossip))
     return actions
 
 
@@ -170,15 +170,11 @@
     """Sends the records that were asked for."""
     actions = take_news(core, want.sender, News(), now_s)
     table = core.beliefs.table
-    wanted = want.member_ids[:NEWS_COUNT_MAX]
-    known = [
-        table.known(member_id)
-        for member_id in wanted
-        if table.known(member_id) is not None
-    ]
+    wanted = map(table.known, want.member_ids[:NEWS_COUNT_MAX])
+    known = [member for member in wanted if member is not None]
     peer = want.sender.endpoint
     actions += [
-        core.send(peer, records) for records in records_of(core.sender, known)
+        SendMessage(peer, records) for records in records_of(core.sender, known)
     ]
     return actions
 
@@ -212,12 +208,12 @@
     actions: list[SendMessage] = []
     if missing:
         want = Want(core.sender, tuple(missing[:NEWS_COUNT_MAX]))
-        actions.append(core.send(sender.endpoint, want))
+        actions.append(SendMessage(sender.endpoint, want))
     known = beliefs.table.known(sender.claim.member_id)
     if known is not None and _is_stale(known, sender.claim):
         DROPS.labels(ResultCode.MESSAGE_STALE.name).inc()
         gossip = Gossip(core.sender, News((known.claim(),)))
-        actions.append(core.send(sender.endpoint, gossip))
+        actions.append(SendMessage(sender.endpoint, gossip))
     return actions
 
 
--- a/cumindrift/membership/table.py
+++ b/cumindrift/membership/table.py
@@ -8,6 +8,7 @@
 from attrs import define, evolve, field
 from xxhash import xxh3_64_intdigest
 
+from cumindrift.invariant import require
 from cumindrift.membership.member import GONE_STATES, Claim, Member
 
 BUCKET_COUNT = 128
@@ -114,6 +115,13 @@
 
     def _put(self, member: Member, now_s: float) -> None:
         member_id = member.member_id
+        known = self.known(member_id)
+        require(
+            known is None or member.rank > known.rank,
+            'records go up only',
+            known=known,
+            taken=member,
+        )
         self.changed.add(member_id)
         former = self.live.pop(member_id, None)
         if former is not None:
