A state change before the first tick no longer unbinds the rate of news

Cause: such a change took the time of the last tick, minus infinity, and left the allowance of news at NaN, which no comparison bounds.

Change: the first tick tells the state. A scenario failed with NaN before and passes after.

--- a/cumindrift/membership/detector.py
+++ b/cumindrift/membership/detector.py
@@ -110,6 +110,11 @@
         watch.next_s = max(asked_s + PROBE_PERIOD_S, now_s)
         return True
 
+    @property
+    def has_ticked(self) -> bool:
+        """Tells whether the time is known yet."""
+        return self.ticked_s > float('-inf')
+
     def start_over(self, member_id: int) -> None:
         """Counts the silence of a member from now on."""
         self.watches[member_id].silent_rounds = 0
--- a/cumindrift/membership/gossip.py
+++ b/cumindrift/membership/gossip.py
@@ -126,6 +126,9 @@
         self.beliefs.change_me(state)
         self._follow_me()
         self._publish()
+        if not self.detector.has_ticked:
+            # The first tick announces this process, and sets the time.
+            return []
         return self._tell(ANNOUNCE_FANOUT, self.detector.ticked_s)
 
     def tick(self, now_s: float) -> list[SendMessage]:
--- a/features/builders/member.py
+++ b/features/builders/member.py
@@ -71,10 +71,16 @@
     ]
 
 
-def lone_core() -> MembershipCore:
-    """Returns the core of member 0, which knows member 1."""
+def silent_core() -> MembershipCore:
+    """Returns the core of member 0, which has not ticked yet."""
     core = MembershipCore(make_member(0), (), Random(1), lambda _view: None)
     core.merge([make_member(1)], 0.0)
+    return core
+
+
+def lone_core() -> MembershipCore:
+    """Returns the core of member 0, which knows member 1."""
+    core = silent_core()
     core.tick(0.0)
     return core
 
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -114,6 +114,12 @@
     When gossip claims the same record after 1000 seconds
     Then the core keeps 0 tombstones
 
+  Scenario: A state that changes before the first tick is told by it
+    Given a core that has not ticked yet and knows member 1
+    When its state changes to DRAINING and it ticks at second 1000
+    Then it tells member 1 that it is DRAINING
+    And the rate at which it passes on news is bounded
+
   Scenario: A member that is cut off from all judges nobody
     Given 20 joined members on a network that loses 0.0, seed 14
     When member 7 is cut off from all
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -5,7 +5,8 @@
 
 from cumindrift.address import Endpoint
 from cumindrift.membership.member import MemberState
-from cumindrift.membership.message import Ack, Digest, Sender
+from cumindrift.membership.message import Ack, Digest, News, Sender
+from cumindrift.membership.rumour import BURST_BYTES
 from cumindrift.membership.view import View
 from cumindrift.metric import DROPS
 from features.builders.member import (
@@ -19,6 +20,7 @@
     ping_to,
     record_like,
     said_of_me,
+    silent_core,
     view_changes,
 )
 from lab.member_cluster import make_member
@@ -388,3 +390,32 @@
 @then('it is sealed into more than {least:d} and at most {most:d} bytes')
 def step_sealed_size(context, least, most):
     assert least < len(context.datagram) <= most, len(context.datagram)
+
+
+@given('a core that has not ticked yet and knows member 1')
+def step_not_ticked(context):
+    context.core = silent_core()
+
+
+@when('its state changes to {state} and it ticks at second {second:d}')
+def step_changes_early(context, state, second):
+    context.core.change_state(MemberState[state])
+    context.actions = context.core.tick(float(second))
+
+
+@then('it tells member 1 that it is {state}')
+def step_told(context, state):
+    told = [
+        claim
+        for action in context.actions
+        for claim in getattr(action.message, 'news', News()).claims
+    ]
+    me = context.core.me.claim()
+    assert me.state.name == state, me
+    assert me in told, told
+
+
+@then('the rate at which it passes on news is bounded')
+def step_rate_bounded(context):
+    allowance_bytes = context.core.beliefs.rumours._allowance_bytes
+    assert 0 <= allowance_bytes <= BURST_BYTES, allowance_bytes
--- a/lab/membership.py
+++ b/lab/membership.py
@@ -110,7 +110,7 @@
 def measure_churn(count: int) -> Row:
     """The same while members restart, one every 10 seconds."""
     cluster = make_cluster(count, is_encoded=True)
-    start(cluster)
+    reset_meter(cluster)
     for turn in range(int(_SECONDS.value / 10)):
         number = cluster.network.random.randrange(count)
         cluster.start(number, incarnation=turn + 2)
@@ -122,7 +122,7 @@
 def measure_mass_restart(count: int) -> Row:
     """Every member restarts within 10 seconds, with the seeds only."""
     cluster = make_cluster(count, is_encoded=True)
-    start(cluster)
+    reset_meter(cluster)
     return comeback(cluster, count, range(count))
 
 
@@ -135,7 +135,7 @@
         cluster.stop(number)
     cluster.run(100.0)
     seen = {len(core.view.members) for core in cluster.running()}
-    start(cluster)
+    reset_meter(cluster)
     return [f'seen without it {seen}', *comeback(cluster, count, lost)]
 
 
@@ -172,7 +172,7 @@
     )
 
 
-def start(cluster: MemberCluster) -> None:
+def reset_meter(cluster: MemberCluster) -> None:
     """Sets the meter to zero."""
     cluster.meter = type(cluster.meter)()
 
@@ -185,7 +185,7 @@
 ) -> Row:
     """Returns what each member spent a second, sending and receiving."""
     if run_s:
-        start(cluster)
+        reset_meter(cluster)
         cluster.run(run_s)
     meter = cluster.meter
     member_s = count * (run_s or passed_s)
