--- /dev/null
+++ b/features/steps/member_core_steps.py
@@ -0,0 +1,230 @@
+"""Steps of the membership feature that drive one core alone."""
+
+from behave import given, then, when
+
+from cumindrift.membership.member import MemberState
+from cumindrift.membership.message import Ack, Digest, News, Sender
+from cumindrift.membership.rumour import BURST_BYTES
+from cumindrift.membership.view import View
+from cumindrift.metric import DROPS
+from features.builders.member import (
+    answer_to,
+    answers_of,
+    full_message,
+    gossip_of,
+    lone_core,
+    ping_to,
+    record_like,
+    said_of_me,
+    silent_core,
+    view_changes,
+)
+from lab.member_cluster import make_member
+
+
+@given(
+    '{count:d} random changes of members and data centres out, seed {seed:d}'
+)
+def step_changes(context, count, seed):
+    context.changes = view_changes(count, seed)
+
+
+@when('each change makes the next view')
+def step_views(context):
+    context.pairs = []
+    view = View()
+    members = {}
+    for changes, out in context.changes:
+        view = view.successor(changes, out, frozenset())
+        members.update(changes)
+        whole = View([one for one in members.values() if one], out)
+        context.pairs.append((view, answers_of(view), whole))
+
+
+@then('every view answers like one built at once')
+def step_views_equal(context):
+    for view, answers, whole in context.pairs:
+        assert dict(view.members) == dict(whole.members)
+        assert len(view.members) == len(whole.members)
+        assert answers == answers_of(whole)
+
+
+@then('former views still answer as they did')
+def step_views_unchanged(context):
+    for view, answers, _ in context.pairs:
+        assert answers_of(view) == answers
+
+
+@given('a lone core that knows member 1')
+def step_lone(context):
+    context.core = lone_core()
+
+
+@when('the roster brings {record}, twice')
+def step_roster(context, record):
+    context.core.merge([record_like(record)] * 2, 0.0)
+    context.core.tick(0.1)
+
+
+@when('gossip claims {record} after {seconds:d} seconds')
+def step_claims_later(context, record, seconds):
+    context.core.receive(gossip_of(record_like(record)), float(seconds))
+    context.core.tick(float(seconds))
+
+
+@when('gossip claims {record}')
+def step_claims(context, record):
+    gossip = gossip_of(record_like(record), make_member(2))
+    context.core.receive(gossip, 0.0)
+    context.core.tick(0.1)
+
+
+@then('the core has {state} at incarnation {incarnation:d} for member 1')
+def step_has(context, state, incarnation):
+    member = context.core.view.members[make_member(1).member_id]
+    assert member.state.name == state, member
+    assert member.incarnation == incarnation, member
+
+
+@then('the core does not see member 1')
+def step_not_seen(context):
+    assert make_member(1).member_id not in context.core.view.members
+
+
+@then('the core keeps {count:d} tombstones')
+def step_tombstones(context, count):
+    assert len(context.core.beliefs.table.gone) == count
+
+
+@when('it receives {message}')
+def step_receives(context, message):
+    member = make_member(1)
+    sender = Sender(member.claim(), member.endpoint)
+    context.before = context.core.view.members
+    context.counts = {
+        code: DROPS.labels(code)._value.get()
+        for code in (
+            'MESSAGE_MISDIRECTED',
+            'MESSAGE_STALE',
+            'MESSAGE_MALFORMED',
+        )
+    }
+    messages = {
+        'a ping meant for another process': ping_to(make_member(5)),
+        'an answer that nobody asked for': Ack(
+            sender,
+            make_member(0).endpoint,
+            1,
+            member.claim(),
+        ),
+        'gossip from an old incarnation': gossip_of(
+            make_member(1, 0),
+            make_member(1, 0),
+        ),
+        'a digest of another form': Digest(sender, b'short', False),
+    }
+    context.core.receive(messages[message], 0.1)
+    context.core.tick(0.2)
+
+
+@then('its view is unchanged and {code} was counted')
+def step_unchanged(context, code):
+    assert dict(context.core.view.members) == dict(context.before)
+    counted = DROPS.labels(code)._value.get() - context.counts[code]
+    assert counted == 1, counted
+
+
+@given('member 1 has been silent for {seconds:f} seconds')
+def step_silent_for(context, seconds):
+    context.revision = context.core.me.revision
+    start_s = now_s = 0.1
+    while now_s < start_s + 2 and not context.core.detector.is_waiting:
+        now_s += 0.1
+        context.core.tick(now_s)
+    for tick in range(1, round(seconds * 10) + 1):
+        context.core.tick(now_s + tick / 10)
+
+
+@when('the core pauses until second {second:d} and ticks once')
+def step_core_pauses(context, second):
+    context.core.tick(float(second))
+    context.core.tick(second + 0.1)
+
+
+@then('the core still sees member 1, and announced itself anew')
+def step_starts_over(context):
+    assert make_member(1).member_id in context.core.view.members
+    assert context.core.me.revision == context.revision + 1
+
+
+@when('member 1 answers {answers} for {seconds:d} seconds')
+def step_answers(context, answers, seconds):
+    first = None
+    for tick in range(1, seconds * 10):
+        now_s = tick / 10
+        answer = answer_to(context.core.tick(now_s))
+        first = first or answer
+        chosen = {
+            'every ping': answer,
+            'the first ping, over and over': first,
+            'no ping': None,
+        }[answers]
+        if chosen is not None:
+            context.core.receive(chosen, now_s)
+
+
+@then('the core still sees member 1')
+def step_core_sees(context):
+    assert make_member(1).member_id in context.core.view.members
+
+
+@when('gossip says of it that it is {said} at revision {revision:d}')
+def step_said(context, said, revision):
+    gossip = said_of_me(context.core, said, revision)
+    context.core.receive(gossip, 0.1)
+
+
+@then('it announces itself as SERVING at revision {revision:d}')
+def step_announces(context, revision):
+    me = context.core.me
+    assert (me.state, me.revision) == (MemberState.SERVING, revision), me
+    assert context.core.beliefs.table.live[me.member_id] is me
+
+
+@given('a full {kind} of members with long names')
+def step_full(context, kind):
+    context.datagram = full_message(kind)
+
+
+@then('it is sealed into more than {least:d} and at most {most:d} bytes')
+def step_sealed_size(context, least, most):
+    assert least < len(context.datagram) <= most, len(context.datagram)
+
+
+@given('a core that has not ticked yet and knows member 1')
+def step_not_ticked(context):
+    context.core = silent_core()
+
+
+@when('its state changes to {state} and it ticks at second {second:d}')
+def step_changes_early(context, state, second):
+    context.core.change_state(MemberState[state])
+    context.actions = context.core.tick(float(second))
+
+
+@then('it tells member 1 that it is {state}')
+def step_told(context, state):
+    told = [
+        claim
+        for action in context.actions
+        for claim in getattr(action.message, 'news', News()).claims
+    ]
+    me = context.core.me.claim()
+    assert me.state.name == state, me
+    assert me in told, told
+
+
+@then('the rate at which it passes on news is bounded')
+def step_rate_bounded(context):
+    allowance_bytes = context.core.beliefs.rumours._allowance_bytes
+    assert 0 <= allowance_bytes <= BURST_BYTES, allowance_bytes
