--- a/cumindrift/membership/detector.py
+++ b/cumindrift/membership/detector.py
@@ -110,6 +110,20 @@
         watch.next_s = max(asked_s + PROBE_PERIOD_S, now_s)
         return True
 
+    @property
+    def has_ticked(self) -> bool:
+        """Tells whether the time is known yet."""
+        return self.ticked_s > float('-inf')
+
+    def start_over(self, member_id: int) -> None:
+        """Counts the silence of a member from now on."""
+        self.watches[member_id].silent_rounds = 0
+
+    @property
+    def is_waiting(self) -> bool:
+        """Tells whether an answer is awaited."""
+        return any(watch.awaits_ack for watch in self.watches.values())
+
     def due(self, now_s: float) -> list[tuple[int, Step]]:
         """Returns what is due now."""
         return [
--- a/cumindrift/membership/gossip.py
+++ b/cumindrift/membership/gossip.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable, Iterable
 from random import Random
-from typing import Any
 
 from attrs import define, evolve, field
 
@@ -28,6 +27,12 @@
 GOSSIP_FANOUT = 3
 ANNOUNCE_FANOUT = 6
 HELPER_COUNT = 3
+
+# A few pieces of news are passed on as they come; more wait for the tick,
+# so that a message carries many.
+TELL_AT_ONCE_MAX = 4
+TELL_GAP_S = 0.05
+
 SYNC_PERIOD_S = 5.0
 JOIN_PERIOD_S = 0.5
 
@@ -58,6 +63,7 @@
     # True once a comparison with a peer found next to no difference.
     is_joined: bool = False
     heard_s: float = float('-inf')
+    _told_s: float = float('-inf')
     _sync_s: float = 0.0
     _sync_count: int = 0
 
@@ -71,6 +77,11 @@
         """Tells whether a later process of the same name was met."""
         return self.beliefs.is_superseded
 
+    @property
+    def is_busy(self) -> bool:
+        """Tells whether the next tick should come soon."""
+        return bool(self.beliefs.rumours) or self.detector.is_waiting
+
     @property
     def sender(self) -> Sender:
         """Returns how this process names itself in messages."""
@@ -96,9 +107,12 @@
         if self.is_superseded:
             return []
         self.heard_s = now_s
+        added_count = self.beliefs.rumours.added_count
         handle = receivers.get(type(message).__name__)
         actions = handle(self, message, now_s)
         self._follow_me()
+        if self.beliefs.rumours.added_count > added_count:
+            actions += self._tell_at_once(now_s)
         return actions
 
     def on_data_centres_out(self, names: frozenset[str]) -> None:
@@ -112,12 +126,17 @@
         self.beliefs.change_me(state)
         self._follow_me()
         self._publish()
+        if not self.detector.has_ticked:
+            # The first tick announces this process, and sets the time.
+            return []
         return self._tell(ANNOUNCE_FANOUT, self.detector.ticked_s)
 
     def tick(self, now_s: float) -> list[SendMessage]:
         """Probes, passes on news, compares, and publishes what changed."""
         if self.is_superseded:
             return []
+        if not self._may_judge(now_s):
+            self.beliefs.guard.clear_all()
         self.beliefs.expire(now_s)
         if self.detector.has_paused(now_s):
             self.beliefs.change_me(self.me.state)
@@ -129,10 +148,6 @@
         self._publish_changes()
         return actions
 
-    def send(self, peer: Endpoint, message: Any) -> SendMessage:
-        """Returns the action that sends a message to a peer."""
-        return SendMessage(peer, message)
-
     def digest(self, *, wants_digest: bool) -> Digest:
         """Returns the digest of what this process believes."""
         sums = pack_sums(self.beliefs.table)
@@ -171,9 +186,11 @@
         return actions
 
     def _judge(self, member: Member, step: Step, now_s: float) -> None:
-        if step is Step.SUSPECT:
+        if not self._may_judge(now_s):
+            self.detector.start_over(member.member_id)
+        elif step is Step.SUSPECT:
             self.beliefs.suspect(member.claim(), now_s)
-        if step is Step.DECLARE_DEAD and self._may_judge(now_s):
+        elif step is Step.DECLARE_DEAD:
             claim = evolve(member.claim(), state=MemberState.DEAD)
             self.beliefs.take_claim(claim, now_s)
 
@@ -192,7 +209,7 @@
             watch.is_doubted,
             self.beliefs.rumours.take(now_s),
         )
-        return self.send(member.endpoint, ping)
+        return SendMessage(member.endpoint, ping)
 
     def _ask_helpers(self, member: Member) -> list[SendMessage]:
         watch = self.detector.watches[member.member_id]
@@ -204,7 +221,7 @@
             watch.is_doubted,
         )
         return [
-            self.send(helper.endpoint, request)
+            SendMessage(helper.endpoint, request)
             for helper in self._partners(HELPER_COUNT)
             if helper.member_id != member.member_id
         ]
@@ -218,9 +235,16 @@
             if news is NO_NEWS:
                 return actions
             gossip = Gossip(self.sender, news)
-            actions.append(self.send(partner.endpoint, gossip))
+            actions.append(SendMessage(partner.endpoint, gossip))
         return actions
 
+    def _tell_at_once(self, now_s: float) -> list[SendMessage]:
+        is_soon = now_s < self._told_s + TELL_GAP_S
+        if is_soon or len(self.beliefs.rumours) > TELL_AT_ONCE_MAX:
+            return []
+        self._told_s = now_s
+        return self._tell(GOSSIP_FANOUT, now_s)
+
     def _compare(self, now_s: float) -> list[SendMessage]:
         if now_s < self._sync_s or self.me.is_gone:
             return []
@@ -232,7 +256,7 @@
             peers += self._far_peers()
         digest = self.digest(wants_digest=not self.is_joined)
         return [
-            self.send(peer, digest)
+            SendMessage(peer, digest)
             for peer in peers
             if peer != self.me.endpoint
         ]
@@ -249,10 +273,14 @@
     def _partners(self, count: int) -> list[Member]:
         table = self.beliefs.table
         size = len(table.ring)
-        numbers = self.random.sample(range(size), min(count + 1, size))
-        chosen = [table.live[table.ring[number]] for number in numbers]
+        numbers = self.random.sample(range(size), min(2 * count + 1, size))
+        chosen = [table.ring[number] for number in numbers]
+        # Silent members come last: what they are sent is mostly lost.
+        chosen.sort(key=self.beliefs.guard.suspicions.__contains__)
         return [
-            member for member in chosen if member.member_id != self.me.member_id
+            table.live[member_id]
+            for member_id in chosen
+            if member_id != self.me.member_id
         ][:count]
 
     def _publish_changes(self) -> None:
--- a/lab/member_cluster.py
+++ b/lab/member_cluster.py
@@ -11,12 +11,15 @@
 from cumindrift.membership.gossip import MembershipCore
 from cumindrift.membership.member import Member, MemberState
 from cumindrift.membership.message import membership
+from cumindrift.membership.supervisor import (
+    IDLE_TICK_PERIOD_S,
+    TICK_PERIOD_S,
+)
 from cumindrift.membership.view import View
 from cumindrift.traffic.action import SendMessage
 from cumindrift.wire import decode_frame, encode_frame
 from lab.network import VirtualNetwork
 
-TICK_PERIOD_S = 0.1
 HEADER_BYTES = 28
 SERVICE_SIZE = 8
 
@@ -94,7 +97,10 @@
         self.network.receivers[me.endpoint] = lambda message, now_s: (
             self._receive(number, core, message, now_s)
         )
-        self.network.every(TICK_PERIOD_S, lambda: self._tick(number, core))
+        self.network.at(
+            self.network.now_s + self.network.random.random() * TICK_PERIOD_S,
+            lambda: self._tick(number, core),
+        )
         return core
 
     def start_joined(self, count: int) -> None:
@@ -175,11 +181,17 @@
         self.meter.cpu_ns += thread_time_ns() - start_ns
 
     def _tick(self, number: int, core: MembershipCore) -> None:
-        if number in self.stopped or self.cores.get(number) is not core:
+        if self.cores.get(number) is not core:
             return
-        start_ns = thread_time_ns()
-        self.put(core, core.tick(self.network.now_s))
-        self.meter.cpu_ns += thread_time_ns() - start_ns
+        if number not in self.stopped:
+            start_ns = thread_time_ns()
+            self.put(core, core.tick(self.network.now_s))
+            self.meter.cpu_ns += thread_time_ns() - start_ns
+        period_s = TICK_PERIOD_S if core.is_busy else IDLE_TICK_PERIOD_S
+        self.network.at(
+            self.network.now_s + period_s,
+            lambda: self._tick(number, core),
+        )
 
     def _count_view(self, _view: View) -> None:
         self.views_count += 1
