--- a/cumindrift/traffic/agent.py
+++ b/cumindrift/traffic/agent.py
@@ -43,7 +43,7 @@
 from cumindrift.traffic.placement import policies
 from cumindrift.traffic.target import TargetLink
 
-TICK_PERIOD_S = 0.05
+TICK_PERIOD_S = 0.1
 _PERMILLE = 1000
 _DEFAULT_SERVICE = Service(ip='0.0.0.0', port=1)  # noqa: S104
 
--- a/cumindrift/traffic/balancer.py
+++ b/cumindrift/traffic/balancer.py
@@ -54,7 +54,7 @@
             0,
             packet,
         )
-        self._context.send_frame(Endpoint(*entry.pair), frame)
+        self._context.send_frame(entry.endpoint, frame)
 
 
 @roles.register('balancer')
--- a/cumindrift/traffic/finder.py
+++ b/cumindrift/traffic/finder.py
@@ -15,7 +15,7 @@
     SendSteered,
 )
 from cumindrift.traffic.candidates import CANDIDATE_COUNT
-from cumindrift.traffic.flow import Flow, FlowTable
+from cumindrift.traffic.flow import Flow, FlowTable, Record
 from cumindrift.traffic.handover import Handover
 from cumindrift.traffic.message import (
     Candidate,
@@ -100,10 +100,7 @@
         if not self._is_ours(route.team, route.service):
             return [Drop(ResultCode.WRONG_SERVICE)]
         flow = self.table.held.get(route.flow_key)
-        is_on_way = search.searched or search.position or search.assigned
-        if flow is None and is_on_way:
-            return self.opener.on_open(search, now_s)
-        if flow is None and self._may_place(route):
+        if flow is None and self._may_place(search):
             return self.opener.on_open(search, now_s)
         steered = Steered(
             route,
@@ -191,9 +188,13 @@
     def _is_ours(self, team: str, service: str) -> bool:
         return team == self.name.team and service == self.name.service
 
-    def _may_place(self, route: FlowRoute) -> bool:
-        if route.flow_key in self.table.records:
+    def _may_place(self, search: OpenSearch) -> bool:
+        route = search.route
+        record = self.table.records.get(route.flow_key)
+        if record is not None and not self.point.has_left(record.holder):
             return False
+        if search.searched or search.position or search.assigned:
+            return True
         return self.point.is_settled(route.view_version)
 
     def _keep_record(self, record: HolderRecord, now_s: float) -> list[Action]:
@@ -236,20 +237,26 @@
 
     def _search(self, steered: Steered, now_s: float) -> list[Action]:
         route = steered.route
-        if not self.point.knows(route.view_version, now_s):
-            steered = evolve(steered, is_unsure=True)
+        if self._is_unsure(route, now_s):
+            steered = steered.unsure()
         asked = route.candidates[steered.position]
         if steered.by_record:
             if self.handover.is_recovering(now_s):
                 return [Drop(ResultCode.SEARCH_UNSURE)]
-            onward = evolve(steered, by_record=False)
             disown = self.book.disown(asked, route.flow_key, now_s)
-            return [disown, *self._walk(onward, steered.position + 1, now_s)]
-        if asked != self.me and not steered.hop_count:
+            return [disown, *self._walk(steered, steered.position + 1, now_s)]
+        if asked.member_id != self.me.member_id and not steered.hop_count:
             # A balancer's hint was wrong: the search starts at the home.
             return self._walk(steered, 0, now_s)
         return self._walk(steered, steered.position, now_s)
 
+    def _is_unsure(self, route: FlowRoute, now_s: float) -> bool:
+        if not self.point.knows(route.view_version, now_s):
+            return True
+        # The holder's data centre may be back in by a newer view.
+        record = self.table.records.get(route.flow_key)
+        return record is not None and self.point.is_member_out(record.holder)
+
     def _walk(
         self,
         steered: Steered,
@@ -262,29 +269,31 @@
                 steered = self._lengthen(steered)
             if position >= len(steered.route.candidates):
                 return self._end(steered, now_s)
-            following = steered.route.candidates[position]
-            onward = evolve(steered, position=position)
-            if self.point.may_ask(following):
-                return [self._onward(following, onward)]
-            if following == self.me:
-                holder = self._holder_of(onward)
-                if holder is not None:
-                    by_record = evolve(onward, by_record=True)
-                    return [self._onward(holder, by_record)]
-            steered = onward
+            onward = self._ask(steered, position)
+            if onward is not None:
+                return [onward]
             position += 1
 
-    def _holder_of(self, steered: Steered) -> Candidate | None:
-        """Returns who holds the flow by the record kept here, if any."""
+    def _ask(self, steered: Steered, position: int) -> SendSteered | None:
+        following = steered.route.candidates[position]
+        if following.member_id != self.me.member_id:
+            if self.point.may_ask(following):
+                onward = steered.onward(position)
+                return SendSteered(following.endpoint(), onward)
+            return None
         record = self.table.records.get(steered.route.flow_key)
-        if record is None or record.holder == self.me:
+        if record is None or not self._may_follow(record, steered):
             return None
+        onward = steered.onward(position, by_record=True)
+        return SendSteered(record.holder.endpoint(), onward)
+
+    def _may_follow(self, record: Record, steered: Steered) -> bool:
+        if record.holder == self.me:
+            return False
         is_open = steered.kind is PacketKind.OPEN
         if is_open and self.point.has_left(record.holder):
-            return None
-        if self.point.is_member_out(record.holder):
-            return None
-        return record.holder
+            return False
+        return not self.point.is_member_out(record.holder)
 
     def _lengthen(self, steered: Steered) -> Steered:
         """Adds the candidates of all known views that are not asked yet."""
@@ -294,7 +303,8 @@
         if len(known) == len(steered.route.candidates):
             return steered
         longer = tuple(known)[:SEARCH_LENGTH_MAX]
-        return evolve(steered, route=evolve(steered.route, candidates=longer))
+        route = evolve(steered.route, candidates=longer)
+        return evolve(steered, route=route)
 
     def _end(self, steered: Steered, now_s: float) -> list[Action]:
         kind = steered.kind
@@ -324,7 +334,3 @@
         if home == self.me:
             return self.opener.on_open(search, now_s)
         return [SendMessage(home.endpoint(), search)]
-
-    def _onward(self, agent: Candidate, steered: Steered) -> Action:
-        onward = evolve(steered, hop_count=steered.hop_count + 1)
-        return SendSteered(agent.endpoint(), onward)
--- a/cumindrift/traffic/message.py
+++ b/cumindrift/traffic/message.py
@@ -2,7 +2,7 @@
 
 from enum import IntEnum, unique
 
-from attrs import define
+from attrs import define, evolve
 
 from cumindrift.address import Endpoint
 from cumindrift.wire import Family
@@ -61,6 +61,22 @@
     # Some agent on the way could not tell; the end must not refuse.
     is_unsure: bool = False
 
+    def onward(self, position: int, *, by_record: bool = False) -> 'Steered':
+        """Returns the packet one hop on, with its place in the list."""
+        return Steered(
+            self.route,
+            self.kind,
+            position,
+            self.hop_count + 1,
+            self.packet,
+            by_record,
+            self.is_unsure,
+        )
+
+    def unsure(self) -> 'Steered':
+        """Returns the packet with its search marked as unsure."""
+        return evolve(self, is_unsure=True)
+
 
 @define(frozen=True, slots=True)
 class LoadReport:
--- a/cumindrift/traffic/opening.py
+++ b/cumindrift/traffic/opening.py
@@ -58,20 +58,21 @@
     probe: LoadProbe
     random: Random = field(factory=Random)
     opened_count: int = 0
-    _pending: dict[bytes, float] = field(factory=dict)
+    # Opens that passed here lately, apart for assigned ones.
+    _pending: dict[tuple[bytes, bool], float] = field(factory=dict)
     _awaited: dict[bytes, AwaitedOpen] = field(factory=dict)
 
     def on_open(self, search: OpenSearch, now_s: float) -> list[Action]:
         """Takes a flow that no agent holds, or passes its open along."""
-        if search.assigned:
-            return self._take_assigned(search, now_s)
-        if search.position:
-            return self._place(search, now_s)
-        asked_s = self._pending.get(search.route.flow_key)
+        mark = (search.route.flow_key, search.assigned)
+        asked_s = self._pending.get(mark)
         if asked_s is not None and now_s - asked_s < PENDING_OPEN_S:
             return [Drop(ResultCode.OPEN_PENDING)]
-        self._note_pending(search.route.flow_key, now_s)
-        if asked_s is not None and self._report().can_take:
+        self._note_pending(mark, now_s)
+        if search.assigned:
+            return self._take_assigned(search, now_s)
+        is_repeated = asked_s is not None and not search.position
+        if is_repeated and self._report().can_take:
             # Asked before in vain: some agent on the way may be dead.
             return self._take(search, now_s)
         return self._place(search, now_s)
@@ -122,11 +123,11 @@
             return evolve(report, can_take=False)
         return report
 
-    def _note_pending(self, flow_key: bytes, now_s: float) -> None:
-        self._pending.pop(flow_key, None)
+    def _note_pending(self, mark: tuple[bytes, bool], now_s: float) -> None:
+        self._pending.pop(mark, None)
         if len(self._pending) >= PENDING_OPENS_MAX:
             self._pending.pop(next(iter(self._pending)))
-        self._pending[flow_key] = now_s
+        self._pending[mark] = now_s
 
     def _place(self, search: OpenSearch, now_s: float) -> list[Action]:
         reports = (*search.reports, self._report())
--- a/cumindrift/traffic/steering.py
+++ b/cumindrift/traffic/steering.py
@@ -1,7 +1,6 @@
 """Steering: the decisions of a balancer, without I/O."""
 
 from attrs import define, field
-from cachetools import LRUCache
 
 from cumindrift.address import Endpoint
 from cumindrift.caller.message import opening
@@ -38,7 +37,7 @@
 
     route: FlowRoute
     view: View
-    pair: tuple[str, int]
+    endpoint: Endpoint
     is_requests: bool
     # Kept here for the codec, which fills it once a flow.
     encoded_route: bytes | None = None
@@ -46,7 +45,7 @@
 
 @define(frozen=True, slots=True)
 class SteerTo:
-    """Send this packet to the agent at `pair`."""
+    """Send this packet to the agent at the entry's endpoint."""
 
     entry: FlowEntry
     kind: PacketKind
@@ -73,9 +72,8 @@
     _services: dict[tuple[int, Endpoint], tuple[ServiceName, Service]] = field(
         factory=dict,
     )
-    _entries: LRUCache[bytes, FlowEntry] = field(
-        factory=lambda: LRUCache(ENTRY_CACHE_SIZE),
-    )
+    # Bounded; the oldest goes first, which costs a live flow one hop.
+    _entries: dict[bytes, FlowEntry] = field(factory=dict)
 
     def on_view(self, view: View) -> None:
         """Takes a new view; entries of older views are made anew on use."""
@@ -99,9 +97,9 @@
         if entry is None or entry.route.service != hint.service:
             return
         if hint.held and self._may_steer_to(hint.holder):
-            entry.pair = (hint.holder.ip, hint.holder.port)
+            entry.endpoint = hint.holder.endpoint()
         elif entry.route.candidates:
-            entry.pair = entry.route.candidates[0].endpoint().pair()
+            entry.endpoint = entry.route.candidates[0].endpoint()
 
     def _may_steer_to(self, holder: Candidate) -> bool:
         member = self.view.members.get(holder.member_id)
@@ -170,28 +168,33 @@
             candidates,
             self.me,
         )
-        pair = self._pair_after(known, candidates)
+        endpoint = self._endpoint_after(known, candidates)
         is_requests = service.front == 'requests'
-        entry = FlowEntry(route, self.view, pair, is_requests)
-        self._entries[inner.flow_key] = entry
+        entry = FlowEntry(route, self.view, endpoint, is_requests)
+        self._keep(inner.flow_key, entry)
         return entry
 
-    def _pair_after(
+    def _keep(self, flow_key: bytes, entry: FlowEntry) -> None:
+        if len(self._entries) >= ENTRY_CACHE_SIZE:
+            self._entries.pop(next(iter(self._entries)))
+        self._entries[flow_key] = entry
+
+    def _endpoint_after(
         self,
         known: FlowEntry | None,
         candidates: tuple[Candidate, ...],
-    ) -> tuple[str, int]:
+    ) -> Endpoint:
         """Keeps the hint of a former view while its holder is a target."""
-        home = candidates[0].endpoint().pair()
+        home = candidates[0].endpoint()
         if known is None:
             return home
         alive = {
-            member.endpoint.pair()
+            member.endpoint
             for member in self.view.targets(
                 ServiceName(known.route.team, known.route.service),
             )
         }
-        return known.pair if known.pair in alive else home
+        return known.endpoint if known.endpoint in alive else home
 
 
 def steered_of(decision: SteerTo, packet: bytes) -> Steered:
--- a/cumindrift/traffic/viewpoint.py
+++ b/cumindrift/traffic/viewpoint.py
@@ -5,7 +5,7 @@
 
 from attrs import define, field
 
-from cumindrift.membership.member import MemberState
+from cumindrift.membership.member import Member, MemberState
 from cumindrift.membership.view import ServiceName, View
 from cumindrift.traffic.candidates import candidates_in
 from cumindrift.traffic.message import Candidate
@@ -31,11 +31,16 @@
     view: View = field(factory=View)
     _former: deque[tuple[View, float]] = field(factory=deque)
     _strange: dict[int, float] = field(factory=dict)
+    # Versions of the views that are kept, the current one among them.
+    _known: frozenset[int] = frozenset()
+    _own: Member | None = None
 
     def take(self, view: View, now_s: float) -> bool:
         """Takes a view; True when the service's candidates changed."""
         former = self.view
         self.view = view
+        self._own = view.members.get(self.me.member_id)
+        self._known |= {view.service_version(self.name)}
         if view.service_version(self.name) == former.service_version(
             self.name,
         ):
@@ -43,12 +48,14 @@
         self._former.append((former, now_s + VIEW_GRACE_S))
         if len(self._former) > FORMER_VIEWS_MAX:
             self._former.popleft()
+        self._note_known()
         return True
 
     def expire(self, now_s: float) -> None:
         """Forgets views whose grace is over."""
         while self._former and self._former[0][1] < now_s:
             self._former.popleft()
+            self._note_known()
 
     def candidates(self, flow_key: bytes) -> tuple[Candidate, ...]:
         """Returns the flow's candidates in the current view."""
@@ -85,9 +92,7 @@
         A sender whose view differs for good, such as one in a region that
         lost touch, must not keep this agent unsure for ever.
         """
-        known = {view.service_version(self.name) for view, _ in self._former}
-        known.add(self.view.service_version(self.name))
-        if version in known:
+        if version in self._known:
             return True
         if version not in self._strange:
             if len(self._strange) >= STRANGE_VERSIONS_MAX:
@@ -97,7 +102,7 @@
 
     def is_out(self) -> bool:
         """Tells whether the agent's own data centre was taken out."""
-        return self.is_member_out(self.me)
+        return self._own is not None and self.view.is_out(self._own)
 
     def is_member_out(self, candidate: Candidate) -> bool:
         """Tells whether a candidate's data centre was taken out."""
@@ -106,8 +111,7 @@
 
     def is_draining(self) -> bool:
         """Tells whether this agent takes no more flows."""
-        member = self.view.members.get(self.me.member_id)
-        return member is None or member.state >= MemberState.DRAINING
+        return self._own is None or self._own.state >= MemberState.DRAINING
 
     def has_left(self, candidate: Candidate) -> bool:
         """Tells whether a member was in a former view and no longer is."""
@@ -122,6 +126,13 @@
 
         One that no known view has is asked: it joined lately.
         """
-        if candidate == self.me or self.has_left(candidate):
-            return False
-        return not self.is_member_out(candidate)
+        member = self.view.members.get(candidate.member_id)
+        if member is None:
+            return not self.has_left(candidate)
+        return not self.view.is_out(member)
+
+    def _note_known(self) -> None:
+        views = (self.view, *(view for view, _until_s in self._former))
+        self._known = frozenset(
+            view.service_version(self.name) for view in views
+        )
--- a/features/builders/flow.py
+++ b/features/builders/flow.py
@@ -80,6 +80,8 @@
     sent_count: int = 0
     # Tells whether a message is lost.
     is_lost: Callable[[Any], bool] = lambda _message: False
+    is_doubled: Callable[[Any], bool] = lambda _message: False
+    lost: list[Any] = field(factory=list)
 
     def add(self, *names: str) -> None:
         """Adds agents that all share the newest view."""
@@ -221,8 +223,11 @@
             return []
         name = self.name_at(endpoint)
         if not name or self.is_lost(message):
+            self.lost.append(message)
             return []
         actions = self._take(self.finders[name], message)
+        if self.is_doubled(message):
+            actions += self._take(self.finders[name], message)
         return [(name, action) for action in actions]
 
     def _take(self, finder: FlowFinder, message: Any) -> list[Action]:
--- a/features/flow_opening.feature
+++ b/features/flow_opening.feature
@@ -42,3 +42,15 @@
     Given a flow fleet of 7 agents
     When a flow candidate is dead unnoticed and the flow is opened twice
     Then the flow has one holder
+
+  Scenario: An open that the network doubles on its way is placed once
+    Given a flow fleet of 7 agents
+    When a flow is opened and every message of the open is doubled
+    Then the flow has one holder
+    And the flow open is delivered once
+
+  Scenario: A holder in a data centre that may be back in is not refused
+    Given a flow fleet of 7 agents with a flow
+    When its home still sees the holder's data centre out
+    And the flow is searched for from its home
+    Then no flow packet is refused
--- a/features/steps/flow_finding_steps.py
+++ b/features/steps/flow_finding_steps.py
@@ -333,6 +333,6 @@
 
 @then('the flow balancer steers to no agent in hel-a')
 def step_not_out(context):
-    pair = context.core.steer(context.packet).entry.pair
-    name = context.bench.name_at(Endpoint(*pair))
+    endpoint = context.core.steer(context.packet).entry.endpoint
+    name = context.bench.name_at(endpoint)
     assert context.bench.members[name].data_centre != 'hel-a', name
--- a/lab/flowworld.py
+++ b/lab/flowworld.py
@@ -246,7 +246,7 @@
             endpoint = decision.endpoint
             message: Any = decision.search
         else:
-            endpoint = Endpoint(*decision.entry.pair)
+            endpoint = decision.entry.endpoint
             message = steered_of(decision, packet)
         self.check_not_out(endpoint, 'balancer steers to what is out')
         self.network.send(balancer.member.endpoint, endpoint, message)
