--- a/cumindrift/metric.py
+++ b/cumindrift/metric.py
@@ -17,11 +17,27 @@
     'Packets and messages dropped, by result code name.',
     ('code',),
 )
+OTHER_KEY = Counter(
+    'cumindrift_other_key_datagrams',
+    'Peer datagrams that another key than the first opened.',
+)
+MEMBERS = Gauge(
+    'cumindrift_members',
+    'Members in the view of this process.',
+)
+MEMBERS_HELD = Gauge(
+    'cumindrift_members_held',
+    'Silent members that stay in the view while removal is frozen.',
+)
 VIOLATIONS = Counter(
     'cumindrift_invariant_violations',
     'Invariants found violated; any count is a fault of the program.',
     ('invariant',),
 )
+LOG_LINES_DROPPED = Counter(
+    'cumindrift_log_lines_dropped',
+    'Log lines kept back because their source line logged too often.',
+)
 FLOWS_HELD = Gauge(
     'cumindrift_flows_held',
     'Flows that this agent holds.',
@@ -55,3 +71,19 @@
     'Requests by result code name.',
     ('team', 'service', 'code'),
 )
+SERVICE_SECONDS = Histogram(
+    'cumindrift_service_seconds',
+    'Time that a request spent at its target.',
+    _TENANT_LABELS,
+    buckets=_DURATION_BUCKETS_S,
+)
+REQUESTS_RECEIVED = Counter(
+    'cumindrift_requests_received',
+    'Requests received: first attempts, retries, copies of either.',
+    ('team', 'service', 'kind'),
+)
+GOODPUT = Counter(
+    'cumindrift_goodput',
+    'Requests whose answer was complete before their deadline.',
+    _TENANT_LABELS,
+)
--- a/cumindrift/traffic/agent.py
+++ b/cumindrift/traffic/agent.py
@@ -11,7 +11,7 @@
 from cumindrift.membership.view import ServiceName, View
 from cumindrift.metric import DROPS, FLOWS_HELD, HOPS
 from cumindrift.registry import Registry
-from cumindrift.role import roles
+from cumindrift.role import RoleSettingsError, roles
 from cumindrift.settings.process import TargetSettings
 from cumindrift.settings.tree import Service, Snapshot
 from cumindrift.supervision import ChildSpec, Supervisor
@@ -43,7 +43,8 @@
 from cumindrift.traffic.placement import policies
 from cumindrift.traffic.target import TargetLink
 
-TICK_PERIOD_S = 0.1
+TICK_PERIOD_S = 0.05
+IDLE_PERIOD_S = 0.25
 _PERMILLE = 1000
 _DEFAULT_SERVICE = Service(ip='0.0.0.0', port=1)  # noqa: S104
 
@@ -97,12 +98,23 @@
         service = team.services.get(self.target.service) if team else None
         if service is None:
             return
+        self._follow_draining(service)
         self.finder.opener.policy = policies.get(service.placement)
         wanted = fronts.get(service.front)
         if not isinstance(self.front, wanted):
             self.front = wanted(self.context, self.finder)
             self.attach_link(self.link)
 
+    def _follow_draining(self, service: Service) -> None:
+        if self.context.is_stopping:
+            return
+        membership = self.context.membership
+        wanted = MemberState.SERVING
+        if membership.me.name in service.draining:
+            wanted = MemberState.DRAINING
+        if membership.me.state is not wanted:
+            self.context.send_all(membership.change_state(wanted))
+
     def attach_link(self, link: TargetLink | None) -> None:
         """Connects the link to the target with the front end."""
         self.link = link
@@ -110,13 +122,16 @@
             self.front.link = link
             link.sink = self.front
 
-    def tick(self) -> None:
-        """Lets time pass in the finder and the front end."""
+    def tick(self) -> bool:
+        """Lets time pass; True while something waits for the next tick."""
         now_s = self.context.clock()
         self.perform(self.finder.tick(now_s), now_s)
         self.front.tick(now_s)
         labels = (self.target.team, self.target.service)
         FLOWS_HELD.labels(*labels).set(len(self.finder.table.held))
+        if isinstance(self.front, RequestsFront) and self.front.core.open_count:
+            return True
+        return self.finder.is_busy(now_s)
 
     def perform(self, actions: list[Action], now_s: float) -> None:
         """Carries out what the finder decided."""
@@ -263,7 +278,7 @@
     """Builds the agent's core once; returns the supervisor's builder."""
     target = context.settings.target
     if target is None:
-        raise ValueError('an agent needs `target` in its settings')
+        raise RoleSettingsError('an agent needs `target` in its settings')
     core = AgentCore(context, target)
     context.view_listeners.append(core.on_view)
     context.snapshot_listeners.append(core.on_snapshot)
@@ -283,7 +298,9 @@
                 ChildSpec('target-link', build_link),
                 ChildSpec(
                     'ticker',
-                    lambda: Ticker('agent', TICK_PERIOD_S, core.tick),
+                    lambda: Ticker(
+                        'agent', TICK_PERIOD_S, core.tick, IDLE_PERIOD_S
+                    ),
                 ),
             ],
         )
--- a/cumindrift/traffic/finder.py
+++ b/cumindrift/traffic/finder.py
@@ -185,6 +185,14 @@
         actions += self.book.tick(now_s)
         return [*actions, *self.handover.tick(now_s)]
 
+    def is_busy(self, now_s: float) -> bool:
+        """Tells whether something waits for the next tick."""
+        return (
+            self.book.is_busy()
+            or self.opener.is_busy()
+            or self.handover.is_busy(now_s)
+        )
+
     def _is_ours(self, team: str, service: str) -> bool:
         return team == self.name.team and service == self.name.service
 
--- a/cumindrift/traffic/handover.py
+++ b/cumindrift/traffic/handover.py
@@ -98,6 +98,12 @@
         until_s = self._recovery_until_s
         return until_s is None or now_s < until_s
 
+    def is_busy(self, now_s: float) -> bool:
+        """Tells whether parts are owed or may yet come back."""
+        until_s = self._recovery_until_s
+        is_recovering = until_s is not None and now_s < until_s
+        return bool(self._owed) or is_recovering
+
     def on_ack(self, ack: HandoverAck) -> None:
         """Strikes off a part."""
         if ack.incarnation == self.point.incarnation:
--- a/cumindrift/traffic/opening.py
+++ b/cumindrift/traffic/opening.py
@@ -95,6 +95,10 @@
         """Returns how many opens are being placed by others."""
         return len(self._pending)
 
+    def is_busy(self) -> bool:
+        """Tells whether opening packets wait for their records."""
+        return bool(self._awaited)
+
     def forget(self, flow_key: bytes) -> None:
         """Drops an opening packet whose flow is held elsewhere."""
         self._awaited.pop(flow_key, None)
--- a/cumindrift/traffic/record.py
+++ b/cumindrift/traffic/record.py
@@ -150,6 +150,10 @@
         for record in self.table.records.values():
             record.is_handed_on = False
 
+    def is_busy(self) -> bool:
+        """Tells whether records wait to be told or confirmed."""
+        return bool(self._owed or self._to_check)
+
     def is_handed_on(self) -> bool:
         """Tells whether nothing kept here would be lost by leaving."""
         if self._owed or self._to_check:
