--- a/cumindrift/schema/traffic.capnp
+++ b/cumindrift/schema/traffic.capnp
@@ -65,6 +65,8 @@
   flowKeys @4 :List(Data);
   ledger @5 :Data;
   isClosing @6 :Bool;
+  keeperIds @7 :List(UInt64);
+  keeperId @8 :UInt64;
 }
 
 struct HandoverAck {
--- a/cumindrift/traffic/agent.py
+++ b/cumindrift/traffic/agent.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from attrs import define, field
+from loguru import logger
 
 from cumindrift.address import Endpoint
 from cumindrift.context import Context
@@ -62,9 +63,6 @@
     finder: FlowFinder = field(init=False)
     front: FrontEnd = field(init=False)
     link: TargetLink | None = None
-    # The request core's part of a planned restart: octets out, octets in.
-    export_ledger: Callable[[], bytes] = bytes
-    import_ledger: Callable[[bytes], None] = len
 
     def __attrs_post_init__(self) -> None:
         """Builds the finder and the front end of the service."""
@@ -200,8 +198,9 @@
 ) -> list[Action]:
     actions = core.finder.on_part(part, now_s)
     ledger = core.finder.handover.take_ledger()
-    if ledger:
-        core.import_ledger(ledger)
+    if ledger and isinstance(core.front, RequestsFront):
+        outcome = core.front.adopt_ledger(ledger, now_s)
+        logger.info('a ledger came back: {}', outcome)
     return actions
 
 
@@ -260,7 +259,9 @@
     context = core.context
 
     def export() -> bytes:
-        return core.export_ledger()
+        if isinstance(core.front, RequestsFront):
+            return core.front.export_ledger(context.clock())
+        return b''
 
     def announce(state: MemberState) -> None:
         context.send_all(context.membership.change_state(state))
--- a/cumindrift/traffic/handover.py
+++ b/cumindrift/traffic/handover.py
@@ -1,6 +1,6 @@
 """Planned restarts: flows and ledger left to members and taken back."""
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from cumindrift.membership.member import Member, MemberState
 from cumindrift.traffic.action import Action, SendMessage
@@ -31,6 +31,8 @@
     incarnation: int
     kept_s: float
     parts: dict[int, HandoverPart] = field(factory=dict)
+    # The one incarnation that may have it.
+    claimed_by: int = 0
 
     def is_whole(self) -> bool:
         """Tells whether every part is there."""
@@ -56,14 +58,18 @@
     two members of its service; the next one asks all of them at its start
     and serves the flows on. Until that is settled it is unsure of flows
     that it does not hold.
+
+    A ledger must be adopted once. A keeper gives its copy to one incarnation
+    only, and the ledger is adopted when all that may have a copy gave it.
     """
 
     point: Viewpoint
     table: FlowTable
-    ledger: bytes = b''
     is_started: bool = False
     _parts: list[HandoverPart] = field(factory=list)
     _keepers: set[int] = field(factory=set)
+    _ever_keepers: set[int] = field(factory=set)
+    _claimed: set[int] = field(factory=set)
     _owed: dict[tuple[int, int], OwedPart] = field(factory=dict)
     _kept: dict[int, LeftBehind] = field(factory=dict)
     _returned: LeftBehind | None = None
@@ -71,6 +77,7 @@
     _recovery_until_s: float | None = None
     _next_s: float = 0.0
     _is_recovered: bool = False
+    _is_given_up: bool = False
 
     def start(self, ledger: bytes) -> None:
         """Cuts flows and ledger into parts for two members."""
@@ -124,7 +131,7 @@
     def on_ask(self, ask: HandoverAsk) -> list[Action]:
         """Answers with parts from the number asked for, or with none."""
         left = self._kept.get(ask.owner.member_id)
-        if left is not None and left.incarnation >= ask.incarnation:
+        if left is not None and not _may_claim(left, ask):
             left = None
         if ask.is_done:
             if left is not None:
@@ -133,32 +140,35 @@
         if left is None or not left.is_whole():
             none = HandoverPart(self.point.me, 0, 0, 0, (), False, b'')
             return [SendMessage(ask.owner.endpoint(), none)]
-        last = ask.first_number + PARTS_PER_TICK
+        left.claimed_by = ask.incarnation
+        first = min(ask.first_number, len(left.parts) - 1)
+        last = min(first + PARTS_PER_TICK, len(left.parts))
+        me = self.point.me.member_id
         return [
             SendMessage(
                 ask.owner.endpoint(),
-                left.parts[number],
+                evolve(left.parts[number], keeper_id=me),
             )
-            for number in range(ask.first_number, last)
-            if number in left.parts
+            for number in range(first, last)
         ]
 
     def on_return(self, part: HandoverPart, now_s: float) -> bool:
-        """Takes an answer to an ask; True when all flows are back."""
-        if self._is_recovered:
-            return False
+        """Takes an answer to an ask; True when all flows came back by it."""
         if not part.part_count:
             self._answered.add(part.owner.member_id)
             return False
-        if part.incarnation >= self.point.incarnation:
+        if part.incarnation >= self.point.incarnation or self._is_given_up:
             return False
         returned = self._returned
         if returned is None or returned.incarnation < part.incarnation:
             returned = LeftBehind(part.incarnation, now_s)
             self._returned = returned
-        if returned.incarnation == part.incarnation:
-            returned.parts[part.number] = part
-        if not returned.is_whole():
+            self._claimed.clear()
+        if returned.incarnation > part.incarnation:
+            return False
+        returned.parts[part.number] = part
+        self._claimed.add(part.keeper_id)
+        if self._is_recovered or not returned.is_whole():
             return False
         self._take_back(returned, now_s)
         return True
@@ -170,12 +180,26 @@
     def give_up(self) -> None:
         """Wants nothing back: the data centre was taken out."""
         self._is_recovered = True
+        self._is_given_up = True
 
     def take_ledger(self) -> bytes:
-        """Returns the ledger that came back, once."""
-        ledger = self.ledger
-        self.ledger = b''
-        return ledger
+        """Returns the ledger once, when no other copy can be adopted."""
+        returned = self._returned
+        if returned is None or not self._is_settled():
+            return b''
+        ordered = [returned.parts[number] for number in sorted(returned.parts)]
+        for number, part in returned.parts.items():
+            returned.parts[number] = evolve(part, ledger=b'')
+        return b''.join(part.ledger for part in ordered)
+
+    def _is_settled(self) -> bool:
+        """Tells whether all that may have a copy gave it to this agent."""
+        if self._returned is None or not self._is_recovered:
+            return False
+        return all(
+            set(part.keeper_ids) <= self._claimed
+            for part in self._returned.parts.values()
+        )
 
     def tick(self, now_s: float) -> list[Action]:
         """Sends parts again, asks for the own ones, forgets old ones."""
@@ -196,10 +220,15 @@
         for owed_key in list(self._owed):
             if owed_key[0] not in self._keepers:
                 self._owed.pop(owed_key)
+        chosen = set(self._ever_keepers)
         while others and len(self._keepers) < KEEPER_COUNT:
             member = min(others, key=self._keeper_order)
             others.remove(member)
-            self._add_keeper(member)
+            self._keepers.add(member.member_id)
+            chosen.add(member.member_id)
+        if chosen != self._ever_keepers:
+            self._ever_keepers = chosen
+            self._owe_all()
 
     def _keeper_order(self, member: Member) -> tuple[bool, bool, bool, int]:
         centres = {
@@ -214,14 +243,16 @@
             member.member_id ^ self.point.me.member_id,
         )
 
-    def _add_keeper(self, member: Member) -> None:
-        if member.member_id in self._keepers:
-            return
-        self._keepers.add(member.member_id)
-        keeper = Candidate(member.member_id, *member.endpoint.pair())
-        for part in self._parts:
-            owed_key = (member.member_id, part.number)
-            self._owed[owed_key] = OwedPart(keeper, part)
+    def _owe_all(self) -> None:
+        """Owes all parts to all keepers, with the names of all copies."""
+        ids = tuple(sorted(self._ever_keepers))
+        named = [evolve(part, keeper_ids=ids) for part in self._parts]
+        for member in self._others():
+            if member.member_id in self._keepers:
+                keeper = Candidate(member.member_id, *member.endpoint.pair())
+                for part in named:
+                    owed = OwedPart(keeper, part)
+                    self._owed[member.member_id, part.number] = owed
 
     def _others(self) -> list[Member]:
         return [
@@ -251,7 +282,7 @@
             self.point.me,
             self.point.incarnation,
             self._first_missing(),
-            self._is_recovered,
+            self._is_given_up or self._is_settled(),
         )
         return [
             SendMessage(member.endpoint, ask)
@@ -268,7 +299,6 @@
     def _take_back(self, returned: LeftBehind, now_s: float) -> None:
         self._is_recovered = True
         ordered = [returned.parts[number] for number in sorted(returned.parts)]
-        self.ledger = b''.join(part.ledger for part in ordered)
         for part in ordered:
             for flow_key in part.flow_keys:
                 flow = Flow(now_s, now_s, part.is_closing)
@@ -301,3 +331,9 @@
             )
             for number, content in enumerate(contents)
         ]
+
+
+def _may_claim(left: LeftBehind, ask: HandoverAsk) -> bool:
+    if left.incarnation >= ask.incarnation:
+        return False
+    return left.claimed_by in {0, ask.incarnation}
--- a/cumindrift/traffic/message.py
+++ b/cumindrift/traffic/message.py
@@ -147,7 +147,11 @@
 @traffic.message('handoverPart')
 @define(frozen=True, slots=True)
 class HandoverPart:
-    """A numbered part of what an agent leaves to its next incarnation."""
+    """A numbered part of what an agent leaves to its next incarnation.
+
+    `keeper_ids` names all that may have a copy, `keeper_id` the one that
+    gives this copy back; it is 0 on the way there.
+    """
 
     owner: Candidate
     incarnation: int
@@ -156,6 +160,8 @@
     flow_keys: tuple[bytes, ...]
     is_closing: bool
     ledger: bytes
+    keeper_ids: tuple[int, ...] = ()
+    keeper_id: int = 0
 
 
 @traffic.message('handoverAck')
--- a/features/flow_leaving.feature
+++ b/features/flow_leaving.feature
@@ -37,11 +37,19 @@
     And its next incarnation starts
     Then the restarted agent holds no flow
 
-  Scenario: A data centre that is taken out meanwhile loses no handover
+  Scenario: A data centre that is taken out meanwhile loses no flow
     Given a flow fleet of 7 agents with 400 flows
     When an agent hands its flows over with no messages lost
     And another data centre is taken out, and its next incarnation starts
-    Then the flows and the ledger are back
+    Then the flows are back and the ledger is not
+
+  Scenario: A ledger is adopted by one incarnation only
+    Given a flow fleet of 7 agents with 400 flows
+    When an agent hands its flows over with no messages lost
+    And its next incarnation starts with one keeper out of reach
+    Then the flows are back and the ledger is not
+    When its keeper is in reach and a third incarnation starts
+    Then the ledger is not adopted
 
   Scenario: Records told to an agent that is out stand when it is back
     Given a flow fleet of 7 agents with 200 flows
--- a/features/steps/flow_leaving_steps.py
+++ b/features/steps/flow_leaving_steps.py
@@ -266,3 +266,40 @@
     assert context.records
     records = set(context.bench.finders['a'].table.records)
     assert context.records <= records, len(records)
+
+
+@when('its next incarnation starts with one keeper out of reach')
+def step_keeper_cut(context):
+    bench = context.bench
+    cut = next(
+        name
+        for name, finder in bench.finders.items()
+        if context.former.member_id in finder.handover.keeps_for()
+    )
+    context.cut = bench.finders.pop(cut)
+    bring_back(context)
+    bench.wait(4.0)
+    bench.finders[cut] = context.cut
+
+
+@then('the flows are back and the ledger is not')
+def step_flows_only(context):
+    finder = context.bench.finders[context.stopped]
+    expected = {
+        key for key, name in context.held.items() if name == context.stopped
+    }
+    assert expected
+    assert set(finder.table.held) == expected, len(finder.table.held)
+    assert not finder.handover.take_ledger()
+
+
+@when('its keeper is in reach and a third incarnation starts')
+def step_third(context):
+    context.bench.restart(context.stopped)
+    context.bench.wait(4.0)
+
+
+@then('the ledger is not adopted')
+def step_no_ledger(context):
+    finder = context.bench.finders[context.stopped]
+    assert not finder.handover.take_ledger()
--- a/lab/flowworld.py
+++ b/lab/flowworld.py
@@ -148,6 +148,7 @@
     on_refused: Any = None
     on_dropped: Any = None
     _member_count: int = 0
+    _sent_by: dict[tuple[int, bytes], tuple[View, bool]] = field(factory=dict)
 
     def add_agent(self, service: str, centre: str) -> str:
         """Adds a new target with its agent; returns its name."""
@@ -248,6 +249,7 @@
         else:
             endpoint = decision.entry.endpoint
             message = steered_of(decision, packet)
+            self._note_warmth(balancer, message.route.flow_key)
         self.check_not_out(endpoint, 'balancer steers to what is out')
         self.network.send(balancer.member.endpoint, endpoint, message)
         return True
@@ -303,9 +305,26 @@
         self.network.at(now_s + TICK_S, lambda: self._tick(agent))
 
     def _to_agent(self, agent: LabAgent, message: Any, now_s: float) -> None:
-        if isinstance(message, Steered):
-            self.counts['agent packets'] += 1
-        self.perform(agent, agent.take(message, now_s))
+        actions = agent.take(message, now_s)
+        if isinstance(message, Steered) and actions:
+            self._count_hops(message, actions[0])
+        self.perform(agent, actions)
+
+    def _note_warmth(self, balancer: LabBalancer, flow_key: bytes) -> None:
+        """Notes whether a balancer sent the flow's packets by this view."""
+        pair = (balancer.member.member_id, flow_key)
+        former = self._sent_by.get(pair)
+        is_warm = former is not None and former[0] is balancer.core.view
+        self._sent_by[pair] = (balancer.core.view, is_warm)
+
+    def _count_hops(self, steered: Steered, action: Action) -> None:
+        if not isinstance(action, Deliver):
+            return
+        pair = (steered.route.balancer.member_id, steered.route.flow_key)
+        is_warm = self._sent_by.get(pair, (None, False))[1]
+        kind = 'warm' if is_warm else 'cold'
+        self.counts[f'{kind} packets'] += 1
+        self.counts[f'{kind} hops'] += steered.hop_count
 
     def _to_balancer(self, balancer: LabBalancer, hint: FlowHint) -> None:
         if not self.is_plain:
