Equal loads are told apart by their flows

Cause: an agent of 2,000 connections reports 0 permille for its first flow, so with few flows every candidate was equal and the home took each one. Change: the number of flows decides between equal loads.

--- a/cumindrift/traffic/placement.py
+++ b/cumindrift/traffic/placement.py
@@ -123,5 +123,6 @@
     return Decision(Choice.ASSIGN, chosen.member_id)
 
 
-def _load(report: LoadReport) -> int:
-    return report.load_permille
+def _load(report: LoadReport) -> tuple[int, int]:
+    # Few flows on a large target are all 0 permille.
+    return (report.load_permille, report.flow_count)
