--- a/cumindrift/caller/client.py
+++ b/cumindrift/caller/client.py
@@ -36,9 +36,9 @@
         self._port = DatagramPort(own, self._receive)
         super().__init__(channel=f'client-{self._port.endpoint}')
         self._fabric = fabric
-        self._is_finished = False
         self._service = service
         self._clock = clock
+        self._is_finishing = False
         self.session = Session(SystemRandom(), on_outcome)
         self._port.register(self)
         self._ticker = Ticker(
@@ -48,6 +48,16 @@
         ).register(self)
         self._send(self.session.open(clock()))
 
+    @property
+    def retry_after_s(self) -> float:
+        """How long the agent asked to wait before another attempt."""
+        return self.session.retry_after_s
+
+    @property
+    def is_refused(self) -> bool:
+        """Whether no agent took the flow."""
+        return self.session.refusal is not None
+
     def request(self, request: Request, within_s: float) -> None:
         """Starts a request that has `within_s` seconds in all."""
         now_s = self._clock()
@@ -58,11 +68,11 @@
         self._send(self.session.cancel(request_id))
 
     def finish(self) -> None:
-        """Closes the flow and the socket."""
-        self._send(self.session.close())
-        self._is_finished = True
-        self.release()
-        self.unregister()
+        """Closes the flow and the socket at the next tick.
+
+        What the session still has to send, as a cancellation, goes first.
+        """
+        self._is_finishing = True
 
     def release(self) -> None:
         """Closes the socket."""
@@ -73,10 +83,12 @@
 
     def _tick(self) -> None:
         self._send(self.session.tick(self._clock()))
+        if self._is_finishing:
+            self._send(self.session.close())
+            self.release()
+            self.unregister()
 
     def _send(self, payloads: list[bytes]) -> None:
-        if self._is_finished:
-            return
         for payload in payloads:
             packet = udp_packet(self._port.endpoint, self._service, payload)
             self._port.send(packet, self._fabric.pair())
--- a/cumindrift/code.py
+++ b/cumindrift/code.py
@@ -46,7 +46,6 @@
     ANSWER_DROPPED = 305, 'It ran, but its answer is no longer kept.'
     FLOW_LOST = 306, 'Unknown: the agent asked does not hold the flow.'
     CALLER_QUIET = 307, 'Unknown: stopped, the caller took no more parts.'
-
     HANDOVER_PENDING = 308, 'Stored, but no peer has confirmed it yet.'
 
     SYNTAX = 400, 'The document cannot be parsed.'
@@ -73,6 +72,8 @@
     PORT_IN_USE = 601, 'An address of this process is taken or not its own.'
     RESTARTS_EXHAUSTED = 602, 'A child failed too often; the process stopped.'
     SUPERSEDED = 603, 'A later process of the same name is a member.'
+    NO_BALANCER = 604, 'No balancer answers at the addresses given.'
+    BAD_COMMAND = 605, 'The command line cannot be understood.'
 
     PACKET_MALFORMED = 700, 'A packet from the fabric cannot be parsed.'
     PACKET_NO_SERVICE = 701, 'No service stands behind the address.'
--- a/cumindrift/settings/writer.py
+++ b/cumindrift/settings/writer.py
@@ -1,12 +1,13 @@
 """The settings writer: stores accepted changes and hands them to peers."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from time import time
 from typing import Protocol
 
 from attrs import define, field
 from loguru import logger
 
+from cumindrift.address import Endpoint
 from cumindrift.code import ResultCode
 from cumindrift.invariant import require
 from cumindrift.outcome import Done, NotRun, Outcome, Refused, Unknown
@@ -34,13 +35,20 @@
         self,
         snapshot: Snapshot,
         on_handed: Callable[[bool], None],
-    ) -> None:
+    ) -> bool:
         """Puts a snapshot in force here and hands it to a few peers.
 
-        Answers once: True when enough peers confirmed it, False when they
-        did not in time.
+        `on_handed` is called once: with True when enough peers confirmed
+        this version or a newer one, with False when they did not in time.
+        Returns False when it is not newer than what is in force.
         """
 
+    def versions(self, now_s: float) -> Mapping[Endpoint, int]:
+        """Returns the versions that peers reported lately."""
+
+    def survey(self) -> None:
+        """Starts to ask every peer for its version."""
+
 
 @define(frozen=True, slots=True)
 class WriteResult:
@@ -67,8 +75,8 @@
         """Carries one write to its end; answers once.
 
         `Done` holds a `WriteResult` with code 101, or 103 when nothing was
-        left to do. Codes 4xx and 500 to 502 tell that nothing changed, 305
-        and 503 that the write is to be repeated with the same id.
+        left to do. `Refused` and `NotRun` tell that nothing changed,
+        `Unknown` that the write is to be repeated with the same id.
         """
         refused = check_owner(request)
         if refused is not None:
