--- a/cumindrift/traffic/message.py
+++ b/cumindrift/traffic/message.py
@@ -2,7 +2,7 @@
 
 from enum import IntEnum, unique
 
-from attrs import define
+from attrs import define, evolve
 
 from cumindrift.address import Endpoint
 from cumindrift.wire import Family
@@ -61,6 +61,22 @@
     # Some agent on the way could not tell; the end must not refuse.
     is_unsure: bool = False
 
+    def onward(self, position: int, *, by_record: bool = False) -> 'Steered':
+        """Returns the packet one hop on, with its place in the list."""
+        return Steered(
+            self.route,
+            self.kind,
+            position,
+            self.hop_count + 1,
+            self.packet,
+            by_record,
+            self.is_unsure,
+        )
+
+    def unsure(self) -> 'Steered':
+        """Returns the packet with its search marked as unsure."""
+        return evolve(self, is_unsure=True)
+
 
 @define(frozen=True, slots=True)
 class LoadReport:
@@ -131,7 +147,11 @@
 @traffic.message('handoverPart')
 @define(frozen=True, slots=True)
 class HandoverPart:
-    """A numbered part of what an agent leaves to its next incarnation."""
+    """A numbered part of what an agent leaves to its next incarnation.
+
+    `keeper_ids` names all that may have a copy, `keeper_id` the one that
+    gives this copy back; it is 0 on the way there.
+    """
 
     owner: Candidate
     incarnation: int
@@ -140,6 +160,8 @@
     flow_keys: tuple[bytes, ...]
     is_closing: bool
     ledger: bytes
+    keeper_ids: tuple[int, ...] = ()
+    keeper_id: int = 0
 
 
 @traffic.message('handoverAck')
--- a/lab/flowrun.py
+++ b/lab/flowrun.py
@@ -191,7 +191,10 @@
 
     def pick_to_stop(self) -> str:
         """Picks an agent whose service keeps enough others, or nobody."""
-        chosen = self.random.choice(self.servers())
+        servers = self.servers()
+        if not servers:
+            return ''
+        chosen = self.random.choice(servers)
         service = self.world.members[chosen].service
         return chosen if len(self.servers(service)) > TARGETS_MIN else ''
 
@@ -204,11 +207,17 @@
         """Lets a name be chosen again."""
         self._leaving.discard(name)
 
-    def end_flows_of(self, names: set[str], counter: str) -> None:
-        """Ends the flows that went with their holders."""
+    def end_flows_of(self, name: str) -> None:
+        """Ends the flows that died with their holder."""
         for flow in list(self.flows.values()):
-            if flow.holder in names and not flow.is_over:
-                self._finish(flow, counter)
+            if flow.holder == name and not flow.is_over:
+                self._finish(flow, 'lost')
+
+    def end_flows_in(self, centre: str) -> None:
+        """Gives up the flows of a data centre, of agents away too."""
+        for flow in list(self.flows.values()):
+            if f'-{centre}-' in flow.holder and not flow.is_over:
+                self._finish(flow, 'given up')
 
     def _try_open(self, flow: LabFlow) -> None:
         if flow.is_over or flow.is_open:
@@ -337,7 +346,7 @@
         return
     run.counts['deaths'] += 1
     run.world.stop_agent(name)
-    run.end_flows_of({name}, 'lost')
+    run.end_flows_of(name)
     network = run.world.network
     network.at(
         network.now_s + run.random.random() * DEATH_SEEN_S,
@@ -400,12 +409,7 @@
     centre = run.random.choice(DATA_CENTRES)
     run.counts['centres out'] += 1
     world.set_centre(centre, is_out=True)
-    names = {
-        name
-        for name, agent in world.agents.items()
-        if agent.member.data_centre == centre
-    }
-    run.end_flows_of(names, 'given up')
+    run.end_flows_in(centre)
     world.network.at(
         world.network.now_s + CENTRE_OUT_S,
         lambda: world.set_centre(centre, is_out=False),
@@ -447,6 +451,15 @@
 )
 
 
+def row_of(counts: Counter[str]) -> list[float]:
+    """Returns the columns, with the mean extra hops of a packet."""
+    hops = [
+        round(counts[f'{kind} hops'] / max(counts[f'{kind} packets'], 1), 3)
+        for kind in ('cold', 'warm')
+    ]
+    return [*(counts[column] for column in COLUMNS), *hops]
+
+
 def _run(_arguments: list[str]) -> int:
     be_strict()
     total: Counter[str] = Counter()
@@ -460,10 +473,11 @@
         )
         run.run(_EVENTS.value)
         counts = run.counts + run.world.counts
-        rows.append([seed, *(counts[column] for column in COLUMNS)])
+        rows.append([seed, *row_of(counts)])
         total.update(counts)
-    rows.append(['all', *(total[column] for column in COLUMNS)])
-    sys.stdout.write(f'{tabulate(rows, ["seed", *COLUMNS])}\n')
+    rows.append(['all', *row_of(total)])
+    headers = ['seed', *COLUMNS, 'hops cold', 'hops warm']
+    sys.stdout.write(f'{tabulate(rows, headers)}\n')
     others = sorted(set(total) - set(COLUMNS))
     sys.stdout.write(f'{tabulate([(name, total[name]) for name in others])}\n')
     return 0
