--- a/cumindrift/settings/snapshot.py
+++ b/cumindrift/settings/snapshot.py
@@ -4,11 +4,12 @@
 import zlib
 from collections.abc import Callable
 from hashlib import blake2b
+from typing import Any
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from cumindrift.code import ResultCode
-from cumindrift.document import parse_strict, structure, unstructure
+from cumindrift.document import structure, unstructure
 from cumindrift.invariant import require
 from cumindrift.outcome import Done, Refused
 from cumindrift.platform.store import VALUE_BYTES_MAX
@@ -47,8 +48,8 @@
     )
 
 
-def unpack_snapshot(packed: PackedSnapshot) -> Done | Refused:
-    """Checks a packed snapshot whole; `Done` holds the `Snapshot`."""
+def unpack_document(packed: PackedSnapshot) -> Done | Refused:
+    """Checks a digest; `Done` holds the document as bare objects."""
     try:
         document = zlib.decompressobj().decompress(
             packed.octets,
@@ -58,13 +59,71 @@
         return Refused(ResultCode.SNAPSHOT_CORRUPT, '$', str(error))
     if digest_of(document) != packed.digest:
         return Refused(ResultCode.SNAPSHOT_CORRUPT, '$', 'wrong digest')
-    parsed = parse_strict(document)
-    if isinstance(parsed, Refused):
-        return parsed
-    structured = structure(parsed.content, Tree)
+    try:
+        return Done(json.loads(document))
+    except ValueError as error:
+        return Refused(ResultCode.SYNTAX, '$', str(error))
+
+
+def structure_tree(bare: Any, known: Any, known_tree: Tree) -> Done | Refused:
+    """Turns a bare tree into a `Tree`; `known` is the bare `known_tree`.
+
+    Services that did not change are taken from `known_tree`: structuring
+    all of a large tree would hold up the loop for a third of a second.
+    """
+    if not _has_services(bare):
+        return structure(bare, Tree)
+    known_teams = known['teams'] if _has_services(known) else {}
+    kept = {
+        name: _unchanged(team, known_teams.get(name, {}))
+        for name, team in bare['teams'].items()
+    }
+    reduced = {
+        name: {**team, 'services': _without(team['services'], kept[name])}
+        for name, team in bare['teams'].items()
+    }
+    structured = structure({**bare, 'teams': reduced}, Tree)
     if isinstance(structured, Refused):
         return structured
-    return Done(Snapshot(packed.version, structured.content))
+    return Done(_with_kept(structured.content, kept, known_tree))
+
+
+def _with_kept(
+    fresh: Tree,
+    kept: dict[str, frozenset[str]],
+    known_tree: Tree,
+) -> Tree:
+    teams = {}
+    for name, team in fresh.teams.items():
+        services = dict(team.services)
+        for service in kept[name]:
+            services[service] = known_tree.teams[name].services[service]
+        teams[name] = evolve(team, services=services)
+    return evolve(fresh, teams=teams)
+
+
+def _has_services(bare: Any) -> bool:
+    """Tells whether a bare tree has teams with services, as packed ones."""
+    teams = bare.get('teams') if isinstance(bare, dict) else None
+    return isinstance(teams, dict) and all(
+        isinstance(team, dict) and isinstance(team.get('services'), dict)
+        for team in teams.values()
+    )
+
+
+def _unchanged(team: Any, known_team: Any) -> frozenset[str]:
+    known = known_team.get('services', {})
+    return frozenset(
+        name
+        for name, service in team['services'].items()
+        if name in known and known[name] == service
+    )
+
+
+def _without(services: Any, names: frozenset[str]) -> Any:
+    return {
+        name: service for name, service in services.items() if name not in names
+    }
 
 
 @define(slots=True)
@@ -76,27 +135,36 @@
     packed: PackedSnapshot = field(
         factory=lambda: pack_snapshot(Snapshot(0, Tree())),
     )
+    # The tree in force as bare objects, to find what changes next.
+    _bare: Any = field(factory=dict)
 
     def take(self, snapshot: Snapshot) -> bool:
         """Puts a newer snapshot in force; False for any other."""
         if snapshot.version <= self.snapshot.version:
             return False
-        self._put_in_force(snapshot, pack_snapshot(snapshot))
+        packed = pack_snapshot(snapshot)
+        self._put_in_force(snapshot, packed, unstructure(snapshot.tree))
         return True
 
     def take_packed(self, packed: PackedSnapshot) -> Done | Refused:
         """Checks a packed snapshot whole and puts it in force if newer."""
         if packed.version <= self.snapshot.version:
             return Refused(ResultCode.VERSION_CONFLICT, '$', 'not newer')
-        unpacked = unpack_snapshot(packed)
-        if isinstance(unpacked, Done):
-            self._put_in_force(unpacked.content, packed)
-        return unpacked
+        unpacked = unpack_document(packed)
+        if isinstance(unpacked, Refused):
+            return unpacked
+        bare = unpacked.content
+        structured = structure_tree(bare, self._bare, self.snapshot.tree)
+        if isinstance(structured, Done):
+            snapshot = Snapshot(packed.version, structured.content)
+            self._put_in_force(snapshot, packed, bare)
+        return structured
 
     def _put_in_force(
         self,
         snapshot: Snapshot,
         packed: PackedSnapshot,
+        bare: Any,
     ) -> None:
         require(
             snapshot.version > self.snapshot.version,
@@ -106,4 +174,5 @@
         )
         self.snapshot = snapshot
         self.packed = packed
+        self._bare = bare
         self.on_snapshot(snapshot)
--- a/features/builders/fleet.py
+++ b/features/builders/fleet.py
@@ -1,20 +1,24 @@
 """Builds members, rosters and chunks for the features of distribution."""
 
 import zlib
+from collections.abc import Callable
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from cumindrift.address import Endpoint
 from cumindrift.membership.member import Member, MemberState
 from cumindrift.platform.roster import RosterKeeper
+from cumindrift.registry import Registry
 from cumindrift.settings.message import SnapshotChunk
 from cumindrift.settings.snapshot import digest_of, pack_snapshot
 from cumindrift.settings.transfer import CHUNK_COUNT_MAX, cut_chunk
-from cumindrift.settings.tree import Snapshot
+from cumindrift.settings.tree import DataCentre, Service, Snapshot, Team, Tree
 from lab.network import VirtualNetwork
 from lab.platform_fleet import client_of_model, fleet_tree, put_body
 from standin.platform import PlatformModel
 
+Services = dict[str, Service]
+changes: Registry[Callable[[Tree, Services], None]] = Registry('tree change')
 STRANGER = Endpoint('10.9.9.9', 7100)
 
 
@@ -66,6 +70,60 @@
     }[kind]
 
 
+def changed_tree(change: str) -> Tree:
+    """Returns the tree of version 1 with one change."""
+    tree = fleet_tree(1)
+    changes.get(change)(tree, tree.teams['team'].services)
+    return tree
+
+
+@changes.register('changes nothing')
+def change_nothing(tree: Tree, services: Services) -> None:
+    """Leaves the tree as it is."""
+
+
+@changes.register('changes a service')
+def change_service(tree: Tree, services: Services) -> None:
+    """Gives a service another port."""
+    services['service-0'] = evolve(services['service-0'], port=9)
+
+
+@changes.register('adds a service')
+def add_service(tree: Tree, services: Services) -> None:
+    """Adds a service to the team."""
+    services['new'] = evolve(services['service-0'], port=9)
+
+
+@changes.register('removes a service')
+def remove_service(tree: Tree, services: Services) -> None:
+    """Removes a service from the team."""
+    services.pop('service-1')
+
+
+@changes.register('moves a service')
+def move_service(tree: Tree, services: Services) -> None:
+    """Gives a service to another team."""
+    tree.teams['other'] = Team({'service-2': services.pop('service-2')})
+
+
+@changes.register('adds a team')
+def add_team(tree: Tree, services: Services) -> None:
+    """Adds a team with a service of the same name."""
+    tree.teams['other'] = Team({'service-0': services['service-0']})
+
+
+@changes.register('removes a team')
+def remove_team(tree: Tree, services: Services) -> None:
+    """Removes the only team."""
+    tree.teams.clear()
+
+
+@changes.register('takes out a data centre')
+def take_out(tree: Tree, services: Services) -> None:
+    """Takes out a data centre."""
+    tree.data_centres['dc-1'] = DataCentre('region', 'out')
+
+
 @define(slots=True, eq=False)
 class KeeperDesk:
     """Roster keepers before one stand-in, in virtual time."""
--- a/features/distribution.feature
+++ b/features/distribution.feature
@@ -11,6 +11,22 @@
       | 10   | 50     |
       | 40   | 30     |
 
+  Scenario Outline: A snapshot taken over an older one is whole
+    Given a snapshot store of the fleet with version 1
+    When it takes a packed version 2 that <change>
+    Then its tree is the one that was packed
+
+    Examples:
+      | change                  |
+      | changes nothing         |
+      | changes a service       |
+      | adds a service          |
+      | removes a service       |
+      | moves a service         |
+      | adds a team             |
+      | removes a team          |
+      | takes out a data centre |
+
   Scenario: A snapshot of many chunks comes through loss
     Given a fleet of 20 that loses 30% and doubles 10% of messages
     When settings of 3000 services are written to the fleet
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -6,15 +6,17 @@
 from behave import given, then, when
 
 from cumindrift.membership.member import MemberState
+from cumindrift.outcome import Done
 from cumindrift.platform.roster import (
     Roster,
     decode_roster,
     merge_members,
     roster_key,
 )
+from cumindrift.settings.snapshot import SnapshotStore, pack_snapshot
 from cumindrift.settings.transfer import chunk_count
 from cumindrift.settings.tree import Snapshot
-from features.builders.fleet import KeeperDesk, chunk_like, member
+from features.builders.fleet import KeeperDesk, changed_tree, chunk_like, member
 from features.builders.store import FAULTS
 from lab.network import VirtualNetwork
 from lab.platform_faults import fault_run
@@ -29,6 +31,27 @@
     context.fleet = Fleet(count, 5, loss / 100, double / 100)
 
 
+@given('a snapshot store of the fleet with version 1')
+def step_snapshot_store(context):
+    context.store = SnapshotStore(lambda _snapshot: None)
+    first = pack_snapshot(Snapshot(1, fleet_tree(1)))
+    assert isinstance(context.store.take_packed(first), Done)
+
+
+@when('it takes a packed version 2 that {change}')
+def step_take_packed(context, change):
+    context.packed = Snapshot(2, changed_tree(change))
+    taken = context.store.take_packed(pack_snapshot(context.packed))
+    assert isinstance(taken, Done), taken
+
+
+@then('its tree is the one that was packed')
+def step_same_tree(context):
+    assert context.store.snapshot == context.packed
+    repacked = pack_snapshot(context.store.snapshot)
+    assert repacked == context.store.packed
+
+
 @given('a fleet of {count:d} in {centres:d} data centres')
 def step_fleet_of_centres(context, count, centres):
     context.fleet = Fleet(count, 5, data_centre_count=centres)
