--- a/cumindrift/settings/snapshot.py
+++ b/cumindrift/settings/snapshot.py
@@ -9,15 +9,19 @@
 from attrs import define, evolve, field
 
 from cumindrift.code import ResultCode
-from cumindrift.document import structure, unstructure
+from cumindrift.document import make_converter, structure
 from cumindrift.invariant import require
 from cumindrift.outcome import Done, Refused
 from cumindrift.platform.store import VALUE_BYTES_MAX
 from cumindrift.settings.tree import Snapshot, Tree
 
 DIGEST_BYTES = 16
-# The tree with default values written out, which the platform leaves away.
-DOCUMENT_BYTES_MAX = 4 * VALUE_BYTES_MAX
+# More than any tree that the platform can hold.
+DOCUMENT_BYTES_MAX = 2 * VALUE_BYTES_MAX
+
+# Fields with default values are left out, so that two releases pack a tree
+# alike until a field that only one of them knows is used.
+_CONVERTER = make_converter(omits_defaults=True)
 
 
 @define(frozen=True, slots=True)
@@ -37,7 +41,7 @@
 def pack_snapshot(snapshot: Snapshot) -> PackedSnapshot:
     """Returns the one packed form of a snapshot, equal in all processes."""
     document = json.dumps(
-        unstructure(snapshot.tree),
+        _bare_of(snapshot.tree),
         sort_keys=True,
         separators=(',', ':'),
     ).encode()
@@ -48,6 +52,10 @@
     )
 
 
+def _bare_of(tree: Tree) -> Any:
+    return _CONVERTER.unstructure(tree)
+
+
 def unpack_document(packed: PackedSnapshot) -> Done | Refused:
     """Checks a digest; `Done` holds the document as bare objects."""
     try:
@@ -79,7 +87,7 @@
         for name, team in bare['teams'].items()
     }
     reduced = {
-        name: {**team, 'services': _without(team['services'], kept[name])}
+        name: {**team, 'services': _without(team, kept[name])}
         for name, team in bare['teams'].items()
     }
     structured = structure({**bare, 'teams': reduced}, Tree)
@@ -103,10 +111,10 @@
 
 
 def _has_services(bare: Any) -> bool:
-    """Tells whether a bare tree has teams with services, as packed ones."""
+    """Tells whether a bare tree has teams and services to look into."""
     teams = bare.get('teams') if isinstance(bare, dict) else None
     return isinstance(teams, dict) and all(
-        isinstance(team, dict) and isinstance(team.get('services'), dict)
+        isinstance(team, dict) and isinstance(team.get('services', {}), dict)
         for team in teams.values()
     )
 
@@ -115,14 +123,16 @@
     known = known_team.get('services', {})
     return frozenset(
         name
-        for name, service in team['services'].items()
+        for name, service in team.get('services', {}).items()
         if name in known and known[name] == service
     )
 
 
-def _without(services: Any, names: frozenset[str]) -> Any:
+def _without(team: Any, names: frozenset[str]) -> Any:
     return {
-        name: service for name, service in services.items() if name not in names
+        name: service
+        for name, service in team.get('services', {}).items()
+        if name not in names
     }
 
 
@@ -143,7 +153,7 @@
         if snapshot.version <= self.snapshot.version:
             return False
         packed = pack_snapshot(snapshot)
-        self._put_in_force(snapshot, packed, unstructure(snapshot.tree))
+        self._put_in_force(snapshot, packed, _bare_of(snapshot.tree))
         return True
 
     def take_packed(self, packed: PackedSnapshot) -> Done | Refused:
--- a/features/builders/fleet.py
+++ b/features/builders/fleet.py
@@ -112,6 +112,12 @@
     tree.teams['other'] = Team({'service-0': services['service-0']})
 
 
+@changes.register('empties a team')
+def empty_team(tree: Tree, services: Services) -> None:
+    """Removes all services of the team."""
+    services.clear()
+
+
 @changes.register('removes a team')
 def remove_team(tree: Tree, services: Services) -> None:
     """Removes the only team."""
--- a/features/distribution.feature
+++ b/features/distribution.feature
@@ -24,6 +24,7 @@
       | removes a service       |
       | moves a service         |
       | adds a team             |
+      | empties a team          |
       | removes a team          |
       | takes out a data centre |
 
