--- a/cumindrift/administration/answer.py
+++ b/cumindrift/administration/answer.py
@@ -122,8 +122,10 @@
     bare = {'code': int(outcome.code), 'name': outcome.code.name}
     if isinstance(outcome, Refused):
         bare['path'] = outcome.path
-    if isinstance(outcome, Refused | NotRun | Unknown):
         bare['detail'] = outcome.detail or outcome.code.meaning
+    elif isinstance(outcome, NotRun | Unknown):
+        note = f' ({outcome.detail})' if outcome.detail else ''
+        bare['detail'] = f'{outcome.code.meaning}{note}'
     return HttpAnswer.of_json(status or status_of(outcome.code), bare)
 
 
--- a/features/builders/admin.py
+++ b/features/builders/admin.py
@@ -28,7 +28,7 @@
 )
 from features.builders.socket import RawSocket
 
-ANSWER_WITHIN_S = 2.0
+ANSWER_WITHIN_S = 20.0
 # Steps after which everything that was sent has been read.
 LATE_STEP_COUNT = 10
 TOKENS = {
--- a/lab/shift.py
+++ b/lab/shift.py
@@ -10,8 +10,9 @@
 from tabulate import tabulate
 
 from cumindrift.document import unstructure
+from cumindrift.settings.token import SUPERVISORS
 from cumindrift.ticker import Ticker
-from lab.incident import Planned, call_admin, incidents
+from lab.incident import Planned, call_admin, incidents, write_settings
 from lab.layout import (
     BALANCER_COUNT,
     ENDPOINT_COUNTS,
@@ -135,7 +136,7 @@
 
 def _run(_arguments: list[str]) -> int:
     wait_until_up(BALANCER_COUNT + len(target_places()))
-    call_admin(balancer_ip(1), 'PUT', '/settings', unstructure(tree()))
+    write_settings(SUPERVISORS, '/', unstructure(tree()))
     plan = [*PLAN, *(FAULT_PLAN if _FAULTS.value else ())]
     shift = Shift(plan)
     EPoll().register(shift)
