--- a/lab/incident.py
+++ b/lab/incident.py
@@ -4,27 +4,31 @@
 import os
 import sys
 from collections.abc import Callable
-from http.client import HTTPConnection
 from pathlib import Path
 from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
+from time import monotonic, sleep
 from typing import Any
 
+from absl import app, flags
 from attrs import define
 
 from cumindrift.address import Endpoint
+from cumindrift.outcome import Done, Outcome
 from cumindrift.registry import Registry
 from cumindrift.settings.token import SUPERVISORS
-from cumindrift.tool.client import ApiClient, make_transport
-from cumindrift.tool.command import run_command
-from cumindrift.tool.session import Options, Session
+from cumindrift.tool.client import ApiCall, ApiClient, make_transport
 from lab.layout import BALANCER_COUNT, TEAM, balancer_ip, target_places
+from lab.target_report import read_targets
+
+_FAULTS = flags.DEFINE_bool('faults', False, 'Kill and freeze processes too.')
 
 ADMIN_PORT = 7200
-HTTP_TIMEOUT_S = 5.0
-WRITE_TIMEOUT_S = 45.0
+API_TIMEOUT_S = 20.0
 RUN = Path('run')
-_LOG_FLAGS = os.O_WRONLY | os.O_CREAT | os.O_APPEND
-PIDS = RUN / 'pids'
+REPORT = RUN / 'left.json'
+LEAVING = 'van-c'
+DRAINED = 'kaynti-hel-a-1'
+RESTARTED = 'kaynti-esp-b-5'
 
 incidents: Registry[Callable[[str], None]] = Registry('incident')
 
@@ -38,37 +42,89 @@
     subject: str
 
 
-def call_admin(ip: str, method: str, path: str) -> Any:
-    """Calls an administration page and returns its JSON."""
-    connection = HTTPConnection(ip, ADMIN_PORT, timeout=HTTP_TIMEOUT_S)
-    connection.request(method, path)
-    return json.loads(connection.getresponse().read())
+PLAN = (
+    Planned(5.0, 'drain', DRAINED),
+    Planned(8.0, 'restart', RESTARTED),
+    Planned(12.0, 'data-centre-out', LEAVING),
+    Planned(20.0, 'data-centre-in', LEAVING),
+)
+FAULT_PLAN = (
+    Planned(3.0, 'kill', 'balancer-2'),
+    Planned(6.0, 'freeze', 'kaynti-van-c-3'),
+    Planned(11.0, 'thaw', 'kaynti-van-c-3'),
+    Planned(16.0, 'kill', 'platform'),
+)
+
+
+def api_client() -> ApiClient:
+    """Returns a client that tries every balancer in turn."""
+    numbers = range(1, BALANCER_COUNT + 1)
+    return ApiClient(
+        tuple(Endpoint(balancer_ip(number), ADMIN_PORT) for number in numbers),
+        make_transport(API_TIMEOUT_S),
+    )
+
+
+def put_settings(path: str, content: Any, write_id: str) -> Outcome:
+    """Writes settings as their owner does; waits for the outcome."""
+    client = api_client()
+    current = client.call(ApiCall('GET', '/settings/'))
+    if not isinstance(current, Done):
+        return current
+    holder = TEAM if path.startswith('/teams') else SUPERVISORS
+    secret = (RUN / f'{holder}.token').read_text('utf-8')
+    headers = {
+        'Authorization': f'Bearer {secret}',
+        'If-Match': str(current.content['version']),
+        'Idempotency-Key': write_id,
+    }
+    call = ApiCall('PUT', f'/settings{path}', content, headers)
+    return client.call_write(call)
 
 
 def pid_of(process: str) -> int:
     """Returns the id under which `demo` started a process."""
-    return int((PIDS / process).read_text('ascii'))
+    return int((RUN / 'pids' / process).read_text('ascii'))
 
 
 @incidents.register('data-centre-out')
 def take_out(data_centre: str) -> None:
-    """Sets a data centre out, as shift supervisors do."""
-    set_data_centre(data_centre, 'out')
+    """Sets a data centre out and notes when that was accepted."""
+    _set_state(data_centre, 'out')
+    REPORT.write_text(json.dumps({'out_s': monotonic()}))
 
 
 @incidents.register('data-centre-in')
 def take_in(data_centre: str) -> None:
-    """Sets a data centre in again."""
-    set_data_centre(data_centre, 'in')
+    """Notes the last request that reached the data centre; sets it in."""
+    report = json.loads(REPORT.read_text('utf-8'))
+    idle_s = [
+        target.idle_s
+        for target in read_targets().values()
+        if target.place.data_centre == data_centre and target.idle_s >= 0
+    ]
+    if idle_s:
+        last_s = monotonic() - min(idle_s)
+        report['last_after_s'] = max(last_s - report['out_s'], 0)
+    REPORT.write_text(json.dumps(report))
+    _set_state(data_centre, 'in')
 
 
 @incidents.register('drain')
 def drain_target(name: str) -> None:
-    """Names a target as draining, as its team does."""
+    """Names a target as draining."""
     service = next(
         place.service for place in target_places() if place.name == name
     )
-    start_write(TEAM, f'/teams/{TEAM}/services/{service}/draining', [name])
+    path = f'/teams/{TEAM}/services/{service}/draining'
+    _report(put_settings(path, [name], f'drain-{name}'))
+
+
+@incidents.register('restart')
+@incidents.register('stop')
+def stop_process(process: str) -> None:
+    """Stops a process in order; `demo` starts it again."""
+    os.kill(pid_of(process), SIGTERM)
 
 
 @incidents.register('kill')
@@ -77,12 +133,6 @@
     os.kill(pid_of(process), SIGKILL)
 
 
-@incidents.register('stop')
-def stop_process(process: str) -> None:
-    """Stops a process in order."""
-    os.kill(pid_of(process), SIGTERM)
-
-
 @incidents.register('freeze')
 def freeze_process(process: str) -> None:
     """Freezes a process."""
@@ -95,53 +145,28 @@
     os.kill(pid_of(process), SIGCONT)
 
 
-def set_data_centre(data_centre: str, state: str) -> None:
-    """Writes the state of a data centre through the first balancer."""
-    start_write(SUPERVISORS, f'/data-centres/{data_centre}/state', state)
-
-
-def write_settings(holder: str, path: str, content: Any) -> None:
-    """Writes settings with the tool's own commands; raises OSError."""
-    options = Options(token=token_path(holder).read_text('ascii'))
-    client = ApiClient(balancer_endpoints(), make_transport(WRITE_TIMEOUT_S))
-    arguments = ['set', path, json.dumps(content)]
-    printed = run_command(Session(client, options), arguments)
-    if printed.exit_code:
-        raise OSError(printed.err)
-
-
-def start_write(holder: str, path: str, content: Any) -> None:
-    """Starts the tool beside the callers, whose loop must not wait for it."""
-    balancers = ','.join(str(endpoint) for endpoint in balancer_endpoints())
-    log = os.open(RUN / 'log' / 'tool.log', _LOG_FLAGS)
-    os.posix_spawn(
-        sys.executable,
-        [
-            sys.executable,
-            '-m',
-            'cumindrift.tool.command',
-            'set',
-            path,
-            json.dumps(content),
-            f'--balancers={balancers}',
-            f'--token_file={token_path(holder)}',
-        ],
-        os.environ,
-        file_actions=[
-            (os.POSIX_SPAWN_DUP2, log, descriptor) for descriptor in (1, 2)
-        ],
-    )
-    os.close(log)
+def _set_state(data_centre: str, state: str) -> None:
+    path = f'/data-centres/{data_centre}/state'
+    _report(put_settings(path, state, f'{data_centre}-{state}'))
 
 
-def balancer_endpoints() -> tuple[Endpoint, ...]:
-    """Returns the administration addresses of all balancers."""
-    return tuple(
-        Endpoint(balancer_ip(number), ADMIN_PORT)
-        for number in range(1, BALANCER_COUNT + 1)
-    )
+def _report(outcome: Outcome) -> None:
+    if not isinstance(outcome, Done):
+        sys.stdout.write(f'{outcome.code:d} {outcome.code.name}\n')
+
+
+def _run(_arguments: list[str]) -> int:
+    start_s = monotonic()
+    plan = [*PLAN, *(FAULT_PLAN if _FAULTS.value else ())]
+    for planned in sorted(plan, key=lambda planned: planned.at_s):
+        sleep(max(start_s + planned.at_s - monotonic(), 0))
+        elapsed_s = monotonic() - start_s
+        line = f'{elapsed_s:5.1f} s  {planned.name} {planned.subject}\n'
+        sys.stdout.write(line)
+        sys.stdout.flush()
+        incidents.get(planned.name)(planned.subject)
+    return 0
 
 
-def token_path(holder: str) -> Path:
-    """Returns the file that the layout wrote a token to."""
-    return RUN / f'{holder}.token'
+if __name__ == '__main__':
+    app.run(_run)
