--- a/standin/platform.py
+++ b/standin/platform.py
@@ -229,9 +229,15 @@
         super().__init__(channel='platform-server')
         self._model = model
         self._readings: dict[Any, _Reading] = {}
-        TCPServer(http.pair(), channel=self.channel).register(self)
+        self._server = TCPServer(http.pair(), channel=self.channel)
+        self._server.register(self)
         Ticker('platform-model', TICK_PERIOD_S, self._tick).register(self)
 
+    @property
+    def endpoint(self) -> Endpoint:
+        """Returns the bound address, with the port the kernel chose."""
+        return Endpoint(self._server.host, self._server.port)
+
     def _tick(self) -> None:
         self._model.tick(monotonic())
 
