--- a/cumindrift/traffic/finder.py
+++ b/cumindrift/traffic/finder.py
@@ -171,9 +171,11 @@
             flow.is_closing = True
             flow.used_s = now_s
 
-    def may_leave(self) -> bool:
+    def may_leave(self, now_s: float) -> bool:
         """Tells whether leaving loses nothing: no flows, records handed on."""
-        return not self.table.held and self.book.is_handed_on()
+        if self.table.held or self.handover.is_recovering(now_s):
+            return False
+        return self.book.is_handed_on()
 
     def tick(self, now_s: float) -> list[Action]:
         """Sends unconfirmed records again and forgets what is over."""
--- a/cumindrift/traffic/leaving.py
+++ b/cumindrift/traffic/leaving.py
@@ -58,7 +58,7 @@
         return is_waiting and self.finder.handover.is_over()
 
     def _drain(self, now_s: float) -> None:
-        if self.finder.may_leave():
+        if self.finder.may_leave(now_s):
             self._leave(now_s)
         elif now_s - self._since_s >= DRAIN_SHARE * self.stop_within_s:
             self.finder.handover.start(self.export_ledger())
--- a/features/flow_leaving.feature
+++ b/features/flow_leaving.feature
@@ -43,6 +43,12 @@
     And another data centre is taken out, and its next incarnation starts
     Then the flows are back and the ledger is not
 
+  Scenario: A restarted agent that drains at once waits for its flows
+    Given a flow fleet of 7 agents with 400 flows
+    When an agent hands its flows over with no messages lost
+    And it is about to start again
+    Then it may not leave before its flows are back
+
   Scenario: A ledger is adopted by one incarnation only
     Given a flow fleet of 7 agents with 400 flows
     When an agent hands its flows over with no messages lost
--- a/features/steps/flow_leaving_steps.py
+++ b/features/steps/flow_leaving_steps.py
@@ -90,11 +90,11 @@
     finder = bench.finders[context.leaver]
     bench.wait(2.0)
     assert finder.table.held
-    assert not finder.may_leave()
+    assert not finder.may_leave(bench.now_s)
     for key in list(finder.table.held):
         finder.close(key, bench.now_s)
     bench.wait(CLOSED_LINGER_S + 2)
-    assert finder.may_leave(), finder.table
+    assert finder.may_leave(bench.now_s), finder.table
 
 
 @then('the flow records that it kept stand at two others')
@@ -303,3 +303,15 @@
 def step_no_ledger(context):
     finder = context.bench.finders[context.stopped]
     assert not finder.handover.take_ledger()
+
+
+@then('it may not leave before its flows are back')
+def step_not_yet(context):
+    finder = context.bench.finders[context.stopped]
+    assert not finder.table.held
+    assert not finder.may_leave(context.bench.now_s)
+
+
+@when('it is about to start again')
+def step_about(context):
+    bring_back(context)
--- a/lab/flowrun.py
+++ b/lab/flowrun.py
@@ -322,7 +322,7 @@
         if run.world.agents.get(name) is not agent:
             return
         network = run.world.network
-        if not agent.finder.may_leave():
+        if not agent.finder.may_leave(network.now_s):
             network.at(network.now_s + RETRY_S, try_leave)
             return
         run.counts['left'] += 1
