Refusals in JSON name the path; builders of the API's tests say less

Change: the tool's JSON for a refusal has the path; a late answer is asked for by the builder, not by a request written out in the steps.

--- a/cumindrift/tool/command.py
+++ b/cumindrift/tool/command.py
@@ -88,6 +88,8 @@
     if is_json:
         bare = {'code': int(outcome.code), 'name': outcome.code.name}
         bare['detail'] = detail
+        if isinstance(outcome, Refused):
+            bare['path'] = outcome.path
         return Printed(exit_code, f'{json.dumps(bare)}\n')
     return Printed(exit_code, err=f'cumindrift: {line}\n')
 
--- a/features/builders/admin.py
+++ b/features/builders/admin.py
@@ -99,6 +99,8 @@
         target: str,
         holder: str = '',
         body: bytes = b'',
+        *,
+        is_late: bool = False,
         **headers: str,
     ) -> tuple[int, Any]:
         """Calls a page; returns the status and the JSON of the answer."""
@@ -111,7 +113,8 @@
             for name, content in headers.items()
         )
         head = '\r\n'.join(lines)
-        return self.exchange(f'{head}\r\n\r\n'.encode() + body)
+        octets = f'{head}\r\n\r\n'.encode() + body
+        return self.exchange(octets, is_late=is_late)
 
     def exchange(
         self, octets: bytes, *, is_late: bool = False
@@ -139,15 +142,17 @@
         content: Any,
         holder: str = 'supervisors',
         write_id: str = 'w',
-        version: int = 1,
+        *,
+        is_late: bool = False,
     ) -> tuple[int, Any]:
-        """Puts content at a path."""
+        """Puts content at a path, based on version 1."""
         return self.call(
             'PUT',
             f'/settings{path}',
             holder,
             json.dumps(content).encode(),
-            If_Match=str(version),
+            is_late=is_late,
+            If_Match='1',
             Idempotency_Key=write_id,
         )
 
--- a/features/steps/admin_steps.py
+++ b/features/steps/admin_steps.py
@@ -61,17 +61,7 @@
 
 def put_held(api):
     api.store.holds_writes = True
-    body = b'"out"'
-    lines = [
-        f'PUT /settings{STATE} HTTP/1.1',
-        'Host: test',
-        f'Authorization: Bearer {TOKENS["supervisors"][0]}',
-        'If-Match: 1',
-        'Idempotency-Key: w',
-        f'Content-Length: {len(body)}',
-    ]
-    head = '\r\n'.join(lines)
-    return api.exchange(f'{head}\r\n\r\n'.encode() + body, is_late=True)
+    return api.put(STATE, 'out', is_late=True)
 
 
 def post(path, holder='supervisors'):
--- a/features/tool.feature
+++ b/features/tool.feature
@@ -40,6 +40,7 @@
     Then the tool prints JSON whose content is in
     When the tool runs for a program: get /teams/nobody
     Then the tool prints JSON whose code is 408
+    And the tool prints JSON whose path is /teams/nobody
 
   Scenario: A write whose answer is lost is repeated with its id
     Given the tool and an API of which one balancer is down
