--- a/cumindrift/caller/client.py
+++ b/cumindrift/caller/client.py
@@ -39,6 +39,8 @@
         self._service = service
         self._clock = clock
         self._is_finishing = False
+        # Unregistering takes the loop a few more events, ticks among them.
+        self._is_finished = False
         self.session = Session(SystemRandom(), on_outcome)
         self._port.register(self)
         self._ticker = Ticker(
@@ -82,9 +84,12 @@
         self._send(self.session.receive(payload, self._clock()))
 
     def _tick(self) -> None:
+        if self._is_finished:
+            return
         self._send(self.session.tick(self._clock()))
         if self._is_finishing:
             self._send(self.session.close())
+            self._is_finished = True
             self.release()
             self.unregister()
 
--- a/cumindrift/traffic/frame.py
+++ b/cumindrift/traffic/frame.py
@@ -13,7 +13,7 @@
 from cumindrift.wire import WireError
 
 STEERED_FAMILY = 1
-ROUTE_CACHE_ENTRIES = 65536
+ROUTE_CACHE_ENTRIES = 16_384
 
 # family, kind, position, hop count, flags, octets of the route message
 _PREFIX = Struct('>BBBBBH')
--- a/cumindrift/traffic/steering.py
+++ b/cumindrift/traffic/steering.py
@@ -23,7 +23,7 @@
     read_packet,
 )
 
-ENTRY_CACHE_SIZE = 262_144
+ENTRY_CACHE_SIZE = 65_536
 _TCP = 6
 _PROTOCOL_NUMBERS = {'tcp': _TCP, 'udp': 17}
 _TCP_FLAGS_OFFSET = 33
