The balancer stands before a route, not in it

Cause: an agent's cache of decoded routes keyed on octets that name the balancer, so with 3,100 balancers it could never hold a flow's route. Change: member id, address and port of the balancer precede the route message; one route a flow is kept. Feature: 3 flows from 50 balancers keep 3 routes.

--- a/cumindrift/traffic/frame.py
+++ b/cumindrift/traffic/frame.py
@@ -1,10 +1,12 @@
 """Frames of steered packets, whose headers are encoded once a flow."""
 
+from ipaddress import IPv4Address
 from struct import Struct
 
 from cachetools import LRUCache
 
 from cumindrift.traffic.message import (
+    Candidate,
     FlowRoute,
     PacketKind,
     Steered,
@@ -14,9 +16,13 @@
 
 STEERED_FAMILY = 1
 ROUTE_CACHE_ENTRIES = 16_384
+BALANCER_CACHE_ENTRIES = 4096
 
 # family, kind, position, hop count, flags, octets of the route message
 _PREFIX = Struct('>BBBBBH')
+# member id, address and port of the balancer, before the route message
+_BALANCER = Struct('>Q4sH')
+_NOBODY = Candidate(0, '', 0)
 _BY_RECORD = 0x1
 _UNSURE = 0x2
 
@@ -25,21 +31,35 @@
     """Encodes and decodes steered packets; every process has one.
 
     A flow's route is the same for all its packets, so both ends keep its
-    encoding and pay for Cap'n Proto once a flow, not once a packet.
+    encoding and pay for Cap'n Proto once a flow, not once a packet. The
+    balancer stands before the route, not in it: any balancer may send the
+    next packet, and an agent keeps one route a flow all the same.
     """
 
     def __init__(self, entries: int = ROUTE_CACHE_ENTRIES) -> None:
         """Keeps at most `entries` routes each way."""
         self._decoded: LRUCache[bytes, FlowRoute] = LRUCache(entries)
         self._encoded: LRUCache[FlowRoute, bytes] = LRUCache(entries)
+        self._balancers: LRUCache[bytes, Candidate] = LRUCache(
+            BALANCER_CACHE_ENTRIES,
+        )
+
+    @property
+    def route_count(self) -> int:
+        """The number of decoded routes that are kept."""
+        return len(self._decoded)
 
     def encode_route(self, route: FlowRoute) -> bytes:
-        """Returns the route's octets, from the cache if they are there."""
-        octets = self._encoded.get(route)
+        """Returns balancer and route, from the cache if they are there."""
+        balancer = route.balancer
+        bare = _with_balancer(route, _NOBODY)
+        octets = self._encoded.get(bare)
         if octets is None:
-            octets = traffic.encode(route)
-            self._encoded[route] = octets
-        return octets
+            octets = traffic.encode(bare)
+            self._encoded[bare] = octets
+        address = IPv4Address(balancer.ip).packed
+        head = _BALANCER.pack(balancer.member_id, address, balancer.port)
+        return head + octets
 
     def encode(self, steered: Steered) -> bytes:
         """Returns the frame of a steered packet."""
@@ -74,7 +94,20 @@
             bool(marks & _UNSURE),
         )
 
-    def _decode_route(self, octets: bytes) -> FlowRoute:
+    def _decode_route(self, head_and_octets: bytes) -> FlowRoute:
+        head = head_and_octets[: _BALANCER.size]
+        octets = head_and_octets[_BALANCER.size :]
+        bare = self._decode_bare(octets)
+        balancer = self._balancers.get(head)
+        if balancer is None:
+            if len(head) < _BALANCER.size:
+                raise WireError('a steered frame names no balancer')
+            member_id, address, port = _BALANCER.unpack(head)
+            balancer = Candidate(member_id, str(IPv4Address(address)), port)
+            self._balancers[head] = balancer
+        return _with_balancer(bare, balancer)
+
+    def _decode_bare(self, octets: bytes) -> FlowRoute:
         route = self._decoded.get(octets)
         if route is None:
             route = traffic.decode(octets)
@@ -84,6 +117,17 @@
         return route
 
 
+def _with_balancer(route: FlowRoute, balancer: Candidate) -> FlowRoute:
+    return FlowRoute(
+        route.team,
+        route.service,
+        route.flow_key,
+        route.view_version,
+        route.candidates,
+        balancer,
+    )
+
+
 def frame_packet(
     route: bytes,
     kind: int,
