A superseded process stops in order; every process tells that it leaves

Cause: a process whose name another took was only logged, and a balancer that stopped was found out by silence. Change: the daemon's stop can be requested, and its end announces LEFT.

--- a/cumindrift/context.py
+++ b/cumindrift/context.py
@@ -52,6 +52,8 @@
     # Asked once a tick during a graceful stop until each answers True.
     stop_steps: list[Callable[[float], bool]] = field(factory=list)
     is_stopping: bool = False
+    # Set by the daemon: begins a stop in order.
+    request_stop: Callable[[], None] = lambda: None
     membership: MembershipCore = field(init=False)
     snapshots: SnapshotStore = field(init=False)
     distribution: Distribution = field(init=False)
--- a/cumindrift/daemon.py
+++ b/cumindrift/daemon.py
@@ -11,6 +11,7 @@
 from cumindrift.code import ResultCode
 from cumindrift.context import Context, make_context
 from cumindrift.log import set_up_logs
+from cumindrift.membership.member import MemberState
 from cumindrift.outcome import Refused
 from cumindrift.registry import UnknownNameError
 from cumindrift.role import RoleSettingsError
@@ -38,6 +39,7 @@
         self._context = context
         self._stop = stop
         self._until_s = 0.0
+        context.request_stop = self.begin_stop
 
     @handler('signal', channel='*')
     def _on_signal(self, number: int, _frame: object) -> None:
@@ -46,7 +48,13 @@
             self.root.stop()
             return
         logger.info('signal {}: stopping in order', number)
+        self.begin_stop()
+
+    def begin_stop(self) -> None:
+        """Starts a stop in order; a second call changes nothing."""
         context = self._context
+        if context.is_stopping:
+            return
         context.is_stopping = True
         self._until_s = context.clock() + context.settings.stop_within_s
         Ticker('stop', STOP_TICK_S, self._stop_in_order).register(self)
@@ -58,8 +66,15 @@
             step for step in context.stop_steps if not step(now_s)
         ]
         if not context.stop_steps or now_s >= self._until_s:
+            self._leave()
             self._stop()
 
+    def _leave(self) -> None:
+        """Tells peers, so that nobody has to find out by silence."""
+        membership = self._context.membership
+        if membership.me.state < MemberState.LEFT:
+            self._context.send_all(membership.change_state(MemberState.LEFT))
+
 
 def run_process(settings: ProcessSettings) -> int:
     """Runs one process until it is stopped; returns its exit code."""
--- a/cumindrift/membership/supervisor.py
+++ b/cumindrift/membership/supervisor.py
@@ -29,6 +29,7 @@
         context.send_all(core.receive(message, now_s))
         if core.is_superseded and not was_superseded:
             report_superseded(core.me)
+            context.request_stop()
 
     def tick() -> bool:
         context.send_all(core.tick(context.clock()))
--- a/features/steps/daemon_steps.py
+++ b/features/steps/daemon_steps.py
@@ -2,12 +2,17 @@
 
 from socket import AF_INET, SOCK_DGRAM, socket
 
+from attrs import evolve
 from behave import given, then, when
 
+from cumindrift.address import Endpoint
 from cumindrift.daemon import run_process
 from cumindrift.document import structure
+from cumindrift.membership.message import Records, Sender, membership
+from cumindrift.membership.supervisor import build_membership
 from cumindrift.settings.process import ProcessSettings
 from features.builders.document import process_fields
+from features.builders.peer import peer_context
 
 FAULTS = {
     'an unknown role': {'role': 'watchman'},
@@ -38,3 +43,30 @@
 @then('it ends at once with exit code {code:d}')
 def step_ends(context, code):
     assert context.exit_code == code, context.exit_code
+
+
+@given('a process that runs as balancer-1')
+def step_runs(context):
+    context.stops = []
+    context.process = peer_context()
+    context.process.request_stop = lambda: context.stops.append('stop')
+    build_membership(context.process)
+
+
+@when('it hears of a later balancer-1 at another address')
+def step_hears(context):
+    me = context.process.me
+    later = evolve(
+        me,
+        incarnation=me.incarnation + 1000,
+        endpoint=Endpoint('127.0.0.9', 7100),
+    )
+    sender = Sender(later.claim(), later.endpoint)
+    receive = context.process.receivers[membership.number]
+    for _ in range(2):
+        receive(Records(sender, (later,)), 1.0)
+
+
+@then('it has asked for a stop in order once')
+def step_asked(context):
+    assert context.stops == ['stop'], context.stops
