--- /dev/null
+++ b/cumindrift/exchange.py
@@ -0,0 +1,212 @@
+"""One HTTP/1.1 exchange over a socket that never makes the loop wait."""
+
+from abc import abstractmethod
+from errno import EINPROGRESS
+from socket import (
+    AF_INET,
+    IPPROTO_TCP,
+    SO_ERROR,
+    SOCK_STREAM,
+    SOL_SOCKET,
+    TCP_NODELAY,
+    socket,
+)
+from typing import Any
+
+import h11
+from attrs import define, field
+from circuits import Event, handler
+
+from cumindrift.address import Endpoint
+from cumindrift.port import find_poller
+from cumindrift.supervision import Child
+
+RECEIVE_BYTES = 65_536
+
+
+class broken(Event):  # noqa: N801 - circuits derives event names from classes
+    """Fired when a connection could not even be started."""
+
+
+@define(frozen=True, slots=True)
+class PlainRequest:
+    """What an exchange sends; the usual headers are added to `headers`."""
+
+    method: str
+    target: str
+    headers: dict[str, str] = field(factory=dict)
+    body: bytes = b''
+
+
+class ClientExchange(Child):
+    """Sends one request and reads its answer as it comes, then is gone.
+
+    The client of circuits polls for the connection in a busy loop, so this
+    component owns its socket and is told by the poller when it is connected.
+    Used through subclasses, which say what is done with the answer: the
+    platform's collects it, the target's passes it on.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        endpoint: Endpoint,
+        request: PlainRequest,
+    ) -> None:
+        """Connects when it is started."""
+        super().__init__(channel=f'exchange-{name}')
+        self._endpoint = endpoint
+        self._http = h11.Connection(h11.CLIENT)
+        self._unsent = self._encode(request)
+        self._is_connected = False
+        self._is_over = False
+        self._is_reading = False
+        self._sock = socket(AF_INET, SOCK_STREAM)
+        self._sock.setblocking(False)
+        self._sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+
+    @abstractmethod
+    def on_head(self, response: h11.Response) -> None:
+        """Takes status and headers."""
+
+    @abstractmethod
+    def on_data(self, octets: bytes) -> None:
+        """Takes a piece of the body."""
+
+    @abstractmethod
+    def on_end(self) -> None:
+        """Takes the end of a whole answer."""
+
+    @abstractmethod
+    def on_failure(self, *, was_sent: bool) -> None:
+        """Takes the news that no whole answer comes.
+
+        `was_sent` tells whether the request may have been read.
+        """
+
+    def start(self) -> None:
+        """Starts to connect; the component must be registered."""
+        self._poller = find_poller(self)
+        error = self._sock.connect_ex(self._endpoint.pair())
+        if error in {0, EINPROGRESS}:
+            self._poller.addWriter(self, self._sock)
+        else:
+            # Told by an event, so that no caller is called back at once.
+            self.fire(broken(), self.channel)
+
+    def pause(self) -> None:
+        """Stops reading; the server feels it by its full send buffer."""
+        if self._is_reading and not self._is_over:
+            self._is_reading = False
+            self._poller.removeReader(self._sock)
+
+    def resume(self) -> None:
+        """Reads on."""
+        if self._is_connected and not self._is_reading and not self._is_over:
+            self._is_reading = True
+            self._poller.addReader(self, self._sock)
+
+    def break_off(self) -> None:
+        """Closes the connection and tells nobody."""
+        self.finish()
+
+    def release(self) -> None:
+        """Ends the exchange as a failure when its link is restarted."""
+        self.fail()
+
+    def fail(self) -> None:
+        """Ends the exchange without a whole answer."""
+        if not self._is_over:
+            self.finish()
+            self.on_failure(was_sent=self._is_connected)
+
+    def finish(self) -> None:
+        """Closes the connection; later events find nobody."""
+        if not self._is_over:
+            self._is_over = True
+            self._poller.discard(self._sock)
+            self._sock.close()
+            self.unregister()
+
+    @handler('broken', '_disconnect', '_error')
+    def _on_broken(self, *_details: Any) -> None:
+        self.fail()
+
+    @handler('_write')
+    def _on_write(self, _sock: Any) -> None:
+        if self._is_over or not self._has_connected():
+            return
+        try:
+            sent = self._sock.send(self._unsent)
+        except BlockingIOError:
+            return
+        except OSError:
+            self.fail()
+            return
+        self._unsent = self._unsent[sent:]
+        if not self._unsent:
+            self._poller.removeWriter(self._sock)
+
+    @handler('_read')
+    def _on_read(self, _sock: Any) -> None:
+        if self._is_over:
+            return
+        try:
+            octets = self._sock.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            self.fail()
+            return
+        self._receive(octets)
+
+    def _has_connected(self) -> bool:
+        if not self._is_connected:
+            if self._sock.getsockopt(SOL_SOCKET, SO_ERROR):
+                self.fail()
+                return False
+            self._is_connected = True
+            self.resume()
+        return True
+
+    def _receive(self, octets: bytes) -> None:
+        try:
+            self._http.receive_data(octets)
+            has_more = True
+            while has_more and not self._is_over:
+                has_more = self._take_event()
+        except h11.ProtocolError:
+            self.fail()
+
+    def _take_event(self) -> bool:
+        """Takes one event of h11; False when it needs more octets."""
+        event = self._http.next_event()
+        if isinstance(event, h11.Response):
+            self.on_head(event)
+        elif isinstance(event, h11.Data):
+            self.on_data(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self.finish()
+            self.on_end()
+        elif isinstance(event, h11.ConnectionClosed):
+            self.fail()
+        else:
+            return not isinstance(event, type)
+        return True
+
+    def _encode(self, request: PlainRequest) -> bytes:
+        head = h11.Request(
+            method=request.method,
+            target=request.target,
+            headers=[
+                ('Host', str(self._endpoint)),
+                ('Content-Length', str(len(request.body))),
+                ('Connection', 'close'),
+                *request.headers.items(),
+            ],
+        )
+        return (
+            self._http.send(head)
+            + self._http.send(h11.Data(data=request.body))
+            + self._http.send(h11.EndOfMessage())
+        )
--- a/cumindrift/platform/http.py
+++ b/cumindrift/platform/http.py
@@ -5,6 +5,7 @@
 
 from attrs import define
 
+from cumindrift.exchange import PlainRequest
 from cumindrift.platform.call import AnswerKind, Call, CallAnswer, CallKind
 from cumindrift.platform.store import ABSENT_VERSION, StoredObject
 from cumindrift.registry import Registry
@@ -21,16 +22,6 @@
 Headers = dict[str, str]
 
 
-@define(frozen=True, slots=True)
-class PlainRequest:
-    """A request, whatever carries it."""
-
-    method: str
-    target: str
-    headers: Headers
-    body: bytes = b''
-
-
 @define(frozen=True, slots=True)
 class PlainAnswer:
     """A whole answer; header names are in lower case."""
--- a/cumindrift/traffic/target.py
+++ b/cumindrift/traffic/target.py
@@ -1,16 +1,13 @@
 """The link to the target: one HTTP/1.1 connection for each request."""
 
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Protocol
 
 import h11
-from circuits import handler
-from circuits.net.events import close, connect, write
-from circuits.net.sockets import TCPClient
 
 from cumindrift.address import Endpoint
 from cumindrift.caller.message import Request
-from cumindrift.port import find_poller
+from cumindrift.exchange import ClientExchange, PlainRequest
 from cumindrift.supervision import Child
 
 _LENGTH_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
@@ -32,8 +29,8 @@
         """Takes the news that there will be no whole answer."""
 
 
-class Exchange(Child):
-    """One request at the target and its answer, then gone."""
+class Exchange(ClientExchange):
+    """One request at the target and its answer, passed on as it comes."""
 
     def __init__(
         self,
@@ -43,128 +40,46 @@
         sink: AnswerSink,
         on_over: Callable[[bytes], None],
     ) -> None:
-        """Connects when registered."""
-        super().__init__(channel=f'exchange-{request.request_id.hex()}')
-        self._endpoint = endpoint
-        self._request = request
-        self._remaining_s = remaining_s
+        """Connects when it is started."""
+        self._request_id = request.request_id
+        name = self._request_id.hex()
+        headers = {
+            'Idempotency-Key': name,
+            'Request-Timeout': f'{remaining_s:.3f}',
+        }
+        super().__init__(
+            name,
+            endpoint,
+            PlainRequest(request.method, request.path, headers, request.body),
+        )
         self._sink = sink
         self._on_over = on_over
-        self._http = h11.Connection(h11.CLIENT)
-        self._was_sent = False
-        self._is_over = False
-        self._client = TCPClient(channel=self.channel).register(self)
-
-    def pause(self) -> None:
-        """Stops reading; the target feels it by its full send buffer."""
-        if not self._is_over:
-            find_poller(self).removeReader(self._socket())
-
-    def resume(self) -> None:
-        """Reads on."""
-        if not self._is_over:
-            find_poller(self).addReader(self._client, self._socket())
-
-    def break_off(self) -> None:
-        """Closes the connection; the target takes it as cancellation."""
-        self._finish()
-
-    def release(self) -> None:
-        """Closes the connection when the link is restarted."""
-        self._fail()
 
-    def _socket(self) -> Any:
-        # circuits offers no other way to pause a client.
-        return self._client._sock  # noqa: WPS437
-
-    @handler('ready')
-    def _on_ready(self, _client: object) -> None:
-        self.fire(connect(*self._endpoint.pair()), self.channel)
-
-    @handler('connected')
-    def _on_connected(self, _host: str, _port: int) -> None:
-        if self._is_over:
-            return
-        request = self._request
-        head = h11.Request(
-            method=request.method,
-            target=request.path,
-            headers=[
-                ('Host', str(self._endpoint)),
-                ('Content-Length', str(len(request.body))),
-                ('Idempotency-Key', request.request_id.hex()),
-                ('Request-Timeout', f'{self._remaining_s:.3f}'),
-                ('Connection', 'close'),
-            ],
-        )
-        octets = (
-            self._http.send(head)
-            + self._http.send(h11.Data(data=request.body))
-            + self._http.send(h11.EndOfMessage())
-        )
-        self._was_sent = True
-        self.fire(write(octets), self.channel)
-
-    @handler('read')
-    def _on_read(self, octets: bytes) -> None:
-        self._receive(octets)
-
-    @handler('disconnected')
-    def _on_disconnected(self) -> None:
-        self._receive(b'')
-        self._fail()
-
-    @handler('unreachable', 'error')
-    def _on_error(self, *_details: Any) -> None:
-        self._fail()
-
-    def _receive(self, octets: bytes) -> None:
-        if self._is_over:
-            return
-        try:
-            self._http.receive_data(octets)
-            self._read_events()
-        except h11.ProtocolError:
-            self._fail()
-
-    def _read_events(self) -> None:
-        request_id = self._request.request_id
-        while not self._is_over:
-            event = self._http.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
-            if isinstance(event, h11.Response):
-                self._on_head(event)
-            elif isinstance(event, h11.Data):
-                self._sink.on_body(request_id, bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                self._finish()
-                self._sink.on_end(request_id)
-            else:
-                self._fail()
-
-    def _on_head(self, response: h11.Response) -> None:
+    def on_head(self, response: h11.Response) -> None:
+        """Passes the status on."""
         names = {name for name, _ in response.headers}
-        if not names & _LENGTH_HEADERS:
+        if names & _LENGTH_HEADERS:
+            self._sink.on_head(self._request_id, response.status_code)
+        else:
             # Ended by closing only: whole and cut answers look alike.
-            self._fail()
-            return
-        self._sink.on_head(self._request.request_id, response.status_code)
+            self.fail()
+
+    def on_data(self, octets: bytes) -> None:
+        """Passes a piece of the body on."""
+        self._sink.on_body(self._request_id, octets)
 
-    def _fail(self) -> None:
-        if not self._is_over:
-            self._finish()
-            self._sink.on_failure(
-                self._request.request_id,
-                was_sent=self._was_sent,
-            )
+    def on_end(self) -> None:
+        """Passes the end on."""
+        self._sink.on_end(self._request_id)
 
-    def _finish(self) -> None:
-        if not self._is_over:
-            self._is_over = True
-            self.fire(close(), self.channel)
-            self._on_over(self._request.request_id)
-            self.unregister()
+    def on_failure(self, *, was_sent: bool) -> None:
+        """Passes the failure on."""
+        self._sink.on_failure(self._request_id, was_sent=was_sent)
+
+    def finish(self) -> None:
+        """Closes the connection; the target takes it as cancellation."""
+        self._on_over(self._request_id)
+        super().finish()
 
 
 class TargetLink(Child):
@@ -190,6 +105,7 @@
         )
         self._exchanges[request.request_id] = exchange
         exchange.register(self)
+        exchange.start()
 
     def stop_request(self, request_id: bytes) -> None:
         """Breaks off an exchange, if it still runs."""
--- a/standin/platform.py
+++ b/standin/platform.py
@@ -17,6 +17,7 @@
 from circuits.net.sockets import TCPServer
 
 from cumindrift.address import Endpoint
+from cumindrift.exchange import PlainRequest
 from cumindrift.platform.http import (
     ETAG_HEADER,
     PATH_PREFIX,
@@ -26,7 +27,6 @@
     STATUS_OK,
     WRITE_ID_HEADER,
     PlainAnswer,
-    PlainRequest,
     etag_of,
     version_of,
 )
