Messages are encoded by their class in one place; hops observed without a look-up

Cause: context and requests front each searched all families for a message's class, and each delivered packet looked its histogram up by labels. Change: wire.encode_message knows the family of a class; the agent keeps its histogram; Family.carries has no caller left and is gone. No timing was taken. Seen: path, caller, ledger, keyring, frame and flow_finding features pass.

--- a/cumindrift/context.py
+++ b/cumindrift/context.py
@@ -21,7 +21,7 @@
 from cumindrift.settings.snapshot import SnapshotStore
 from cumindrift.settings.tree import Snapshot
 from cumindrift.traffic.frame import SteeredCodec
-from cumindrift.wire import encode_frame, families
+from cumindrift.wire import encode_message
 
 Receiver = Callable[[Any, float], None]
 
@@ -88,12 +88,7 @@
 
     def send(self, peer: Endpoint, message: Any) -> None:
         """Encodes a message of any family and sends it to a peer."""
-        family = next(
-            family
-            for family in families.values()
-            if family.carries(type(message))
-        )
-        self.send_frame(peer, encode_frame(family, message))
+        self.send_frame(peer, encode_message(message))
 
     def send_all(self, actions: list[Any]) -> None:
         """Sends every `SendMessage` of a core."""
--- a/cumindrift/traffic/agent.py
+++ b/cumindrift/traffic/agent.py
@@ -5,6 +5,7 @@
 
 from attrs import define, field
 from loguru import logger
+from prometheus_client import Histogram
 
 from cumindrift.address import Endpoint
 from cumindrift.code import ResultCode
@@ -66,9 +67,12 @@
     finder: FlowFinder = field(init=False)
     front: FrontEnd = field(init=False)
     link: TargetLink | None = None
+    # Looked up once: every delivered packet is observed.
+    hops: Histogram = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Builds the finder and the front end of the service."""
+        self.hops = HOPS.labels(self.target.team, self.target.service)
         self.finder = FlowFinder(
             candidate_of(self.context.me),
             ServiceName(self.target.team, self.target.service),
@@ -173,8 +177,7 @@
 ) -> list[Action]:
     actions = core.finder.on_steered(steered, now_s)
     if actions and isinstance(actions[0], Deliver):
-        labels = (core.target.team, core.target.service)
-        HOPS.labels(*labels).observe(steered.hop_count)
+        core.hops.observe(steered.hop_count)
     return actions
 
 
--- a/cumindrift/traffic/front.py
+++ b/cumindrift/traffic/front.py
@@ -47,7 +47,7 @@
 )
 from cumindrift.traffic.request import RequestCore
 from cumindrift.traffic.target import TargetLink
-from cumindrift.wire import WireError, decode_frame, encode_frame, families
+from cumindrift.wire import WireError, decode_frame, encode_message
 
 
 class FrontEnd(Protocol):
@@ -251,12 +251,7 @@
         self._send(caller, reply)
 
     def _send(self, caller: Endpoint, message: Any) -> None:
-        family = next(
-            family
-            for family in families.values()
-            if family.carries(type(message))
-        )
-        self.context.send_raw(caller, encode_frame(family, message))
+        self.context.send_raw(caller, encode_message(message))
 
 
 link_drivers: Registry[Callable[[TargetLink, Any], None]] = Registry(
--- a/cumindrift/wire.py
+++ b/cumindrift/wire.py
@@ -118,10 +118,6 @@
         """Returns a decorator that files an attrs class under `tag`."""
         return partial(self._file, tag)
 
-    def carries(self, cls: type) -> bool:
-        """Tells whether messages of this class are of the family."""
-        return cls in self._tags
-
     def encode(self, message: Any) -> bytes:
         """Returns the message's octets; raises KeyError for strangers."""
         tag = self._tags[type(message)]
@@ -146,10 +142,12 @@
 
     def _file(self, tag: str, cls: Message) -> Message:
         self._tags[cls] = tag
+        _family_of[cls] = self
         return self._classes.register(tag)(cls)
 
 
 families: dict[int, Family] = {}
+_family_of: dict[type, Family] = {}
 
 
 def encode_frame(family: Family, message: Any) -> bytes:
@@ -157,6 +155,14 @@
     return bytes((family.number,)) + family.encode(message)
 
 
+def encode_message(message: Any) -> bytes:
+    """Returns the frame of a message, in the family that carries its class.
+
+    Raises KeyError for a class that no family carries.
+    """
+    return encode_frame(_family_of[type(message)], message)
+
+
 def decode_frame(frame: bytes) -> Any:
     """Returns the message of a frame; raises WireError."""
     if not frame or frame[0] not in families:
