--- a/cumindrift/administration/page.py
+++ b/cumindrift/administration/page.py
@@ -1,15 +1,14 @@
 """Pages that every process serves: readiness and metrics."""
 
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
-
 from cumindrift.administration.answer import HttpAnswer, HttpRequest, routes
 from cumindrift.context import Context
+from cumindrift.exposition import CONTENT_TYPE, render_metrics
 
 
 @routes.register('GET /metrics')
 def show_metrics(context: Context, request: HttpRequest) -> HttpAnswer:
     """Answers with all metrics in the exposition format."""
-    return HttpAnswer(200, generate_latest(), CONTENT_TYPE_LATEST)
+    return HttpAnswer(200, render_metrics(), CONTENT_TYPE)
 
 
 @routes.register('GET /ready')
--- /dev/null
+++ b/cumindrift/event.py
@@ -0,0 +1,115 @@
+"""Structured logs: one JSON object a line, bounded, and never waited for."""
+
+import json
+import os
+from collections import deque
+from collections.abc import Callable
+from time import time
+from typing import Any
+
+from attrs import define, field
+
+from cumindrift.metric import LOG_LINES_DROPPED
+
+# Lines that wait for the reader; more are dropped and counted.
+LINES_WAITING_MAX = 4096
+# Lines that a process writes in a second, and in a burst.
+LINES_PER_S = 200.0
+LINES_BURST = 1000.0
+WRITE_LINES_MAX = 64
+
+
+@define(slots=True, eq=False)
+class EventLog:
+    """Keeps events until `flush` writes them; used by every part of a node.
+
+    `note` formats nothing and makes no system call, so that it costs the
+    path of a packet little. A reader that stops loses lines, not packets.
+
+    Example::
+
+        events = EventLog('side-1', clock)
+        events.note('flow-opened', flow='...', code=100)
+    """
+
+    node: str
+    clock: Callable[[], float]
+    # Writes octets and returns how many it took; raises BlockingIOError.
+    write: Callable[[bytes], int] | None = None
+    dropped_count: int = 0
+    _waiting: deque[tuple[float, str, dict[str, Any]]] = field(factory=deque)
+    _unsent: bytes = b''
+    _allowance: float = LINES_BURST
+    _refilled_s: float = 0.0
+
+    def note(self, event: str, **fields: Any) -> None:
+        """Keeps one event for the next flush."""
+        if not self._allow():
+            self._drop()
+            return
+        self._waiting.append((time(), event, fields))
+
+    def flush(self) -> None:
+        """Writes what waits, as far as the reader takes it."""
+        while self._unsent or self._waiting:
+            if not self._unsent:
+                self._unsent = self._next_lines()
+            if not self._push():
+                return
+
+    def note_urgently(self, event: str, **fields: Any) -> None:
+        """Keeps an event whatever the allowance: starts, stops, losses."""
+        if len(self._waiting) < LINES_WAITING_MAX:
+            self._waiting.append((time(), event, fields))
+        else:
+            self._drop()
+
+    def _allow(self) -> bool:
+        now_s = self.clock()
+        gained = (now_s - self._refilled_s) * LINES_PER_S
+        self._allowance = min(LINES_BURST, self._allowance + gained)
+        self._refilled_s = now_s
+        if self._allowance < 1 or len(self._waiting) >= LINES_WAITING_MAX:
+            return False
+        self._allowance -= 1
+        return True
+
+    def _drop(self) -> None:
+        self.dropped_count += 1
+        LOG_LINES_DROPPED.inc()
+
+    def _next_lines(self) -> bytes:
+        if self.dropped_count:
+            fields = {'count': self.dropped_count}
+            self.dropped_count = 0
+            self._waiting.append((time(), 'lines-dropped', fields))
+        lines = []
+        while self._waiting and len(lines) < WRITE_LINES_MAX:
+            at_s, event, fields = self._waiting.popleft()
+            bare = {
+                'time': round(at_s, 4),
+                'node': self.node,
+                'event': event,
+                **fields,
+            }
+            lines.append(json.dumps(bare, default=str))
+        return '\n'.join([*lines, '']).encode()
+
+    def _push(self) -> bool:
+        write = self.write or write_to_stdout
+        try:
+            sent = write(self._unsent)
+        except BlockingIOError:
+            return False
+        except OSError:
+            # The reader is gone for good: nobody can be told.
+            self._unsent = b''
+            self._drop()
+            return False
+        self._unsent = self._unsent[sent:]
+        return not self._unsent
+
+
+def write_to_stdout(octets: bytes) -> int:
+    """Writes to standard output; raises BlockingIOError when it is full."""
+    return os.write(1, octets)
--- a/cumindrift/exchange.py
+++ b/cumindrift/exchange.py
@@ -6,9 +6,14 @@
     AF_INET,
     IPPROTO_TCP,
     SO_ERROR,
+    SO_KEEPALIVE,
     SOCK_STREAM,
     SOL_SOCKET,
+    TCP_KEEPCNT,
+    TCP_KEEPIDLE,
+    TCP_KEEPINTVL,
     TCP_NODELAY,
+    TCP_USER_TIMEOUT,
     socket,
 )
 from typing import Any
@@ -22,6 +27,11 @@
 from cumindrift.supervision import Child
 
 RECEIVE_BYTES = 65_536
+# A peer that is cut off or gone silent is found out within three seconds,
+# however long its answer may take.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_PROBES = 2
+UNACKNOWLEDGED_MS = 3000
 
 
 class broken(Event):  # noqa: N801 - circuits derives event names from classes
@@ -64,6 +74,14 @@
         self._sock = socket(AF_INET, SOCK_STREAM)
         self._sock.setblocking(False)
         self._sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+        for level, option, amount in (
+            (SOL_SOCKET, SO_KEEPALIVE, 1),
+            (IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+            (IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_IDLE_S),
+            (IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES),
+            (IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+        ):
+            self._sock.setsockopt(level, option, amount)
 
     @abstractmethod
     def on_head(self, response: h11.Response) -> None:
--- /dev/null
+++ b/cumindrift/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet supervisor: what the platform's store tells about the system."""
--- /dev/null
+++ b/cumindrift/fleet/announcer.py
@@ -0,0 +1,85 @@
+"""Keeps an agent's entry in the store as the agent wants it."""
+
+from random import Random
+from typing import Any
+
+from attrs import define
+
+from cumindrift.fleet.call import AnswerTag, CallVerb, StoreAnswer, StoreCall
+from cumindrift.fleet.follower import BACKOFF_MAX_S, BACKOFF_MIN_S
+
+
+@define(slots=True, eq=False)
+class Announcer:
+    """Writes one object until the store holds what is wanted.
+
+    Every write is conditional: a create fails on an object that is there,
+    a replace on one that changed. So a write that is repeated after a lost
+    answer does no harm, and an entry that is right costs one call.
+    """
+
+    kind: str
+    name: str
+    random: Random
+    wanted: Any = None
+    is_written: bool = False
+    failure_count: int = 0
+    _revision: int = 0
+    _due_s: float = 0.0
+    _is_running: bool = False
+    _asked: Any = None
+
+    def want(self, content: Any) -> None:
+        """Sets what the entry shall say; None takes it away."""
+        if content != self.wanted:
+            self.wanted = content
+            self.is_written = False
+            self._due_s = 0.0
+
+    def next_call(self, now_s: float) -> StoreCall | None:
+        """Returns the call that is due now, if any."""
+        is_idle = self.is_written or self._is_running
+        if is_idle or now_s < self._due_s:
+            return None
+        verb = CallVerb.CREATE
+        if self.wanted is None:
+            verb = CallVerb.REMOVE
+        elif self._revision:
+            verb = CallVerb.REPLACE
+        self._is_running = True
+        self._asked = self.wanted
+        return StoreCall(
+            verb,
+            self.kind,
+            self.name,
+            self._revision if verb is CallVerb.REPLACE else 0,
+            self.wanted,
+        )
+
+    def on_answer(self, answer: StoreAnswer, now_s: float) -> None:
+        """Takes the answer to the last call."""
+        self._is_running = False
+        if answer.tag is AnswerTag.CONFLICT and answer.items:
+            self.failure_count = 0
+            self._take_other(answer)
+        elif answer.tag is AnswerTag.ABSENT:
+            self.failure_count = 0
+            self._revision = 0
+            self.is_written = self.wanted is None
+        elif answer.tag is AnswerTag.DONE:
+            self.failure_count = 0
+            self._revision = answer.items[0].revision if answer.items else 0
+            self.is_written = self._asked == self.wanted
+        else:
+            self.failure_count += 1
+            ceiling_s = min(
+                BACKOFF_MAX_S,
+                BACKOFF_MIN_S * 2 ** min(self.failure_count, 10),
+            )
+            self._due_s = now_s + ceiling_s * (1 + self.random.random()) / 2
+
+    def _take_other(self, answer: StoreAnswer) -> None:
+        """Compares with what is there: it may be right already."""
+        item = answer.items[0]
+        self._revision = item.revision
+        self.is_written = item.content == self.wanted and not item.is_removed
--- /dev/null
+++ b/cumindrift/fleet/context.py
@@ -0,0 +1,63 @@
+"""The context of a node: the beliefs that outlive its components."""
+
+from collections.abc import Callable
+from random import Random
+from time import monotonic, time
+from typing import Any
+
+from attrs import define, field
+
+from cumindrift.event import EventLog
+from cumindrift.fleet.announcer import Announcer
+from cumindrift.fleet.directory import Directory
+from cumindrift.fleet.follower import KindFollower
+from cumindrift.fleet.link import CallSource, StoreHealth, StoreLink
+from cumindrift.fleet.settings import NodeSettings
+
+_MS_PER_S = 1000
+
+
+@define(slots=True, eq=False)
+class NodeContext:
+    """What the supervisors of one node share; built once by the daemon."""
+
+    settings: NodeSettings
+    is_first_start: bool
+    clock: Callable[[], float] = monotonic
+    random: Random = field(factory=Random)
+    started_ms: int = field(factory=lambda: int(time() * _MS_PER_S))
+    events: EventLog = field(init=False)
+    health: StoreHealth = field(init=False)
+    directory: Directory = field(factory=Directory)
+    followers: dict[str, KindFollower] = field(factory=dict)
+    announcer: Announcer | None = None
+    # Set while the link runs.
+    link: StoreLink | None = None
+    # The core of the role, which HTTP routes ask.
+    core: Any = None
+    is_stopping: bool = False
+    # Hands changed settings to the core.
+    on_settings: Callable[[NodeSettings], None] = lambda _settings: None
+    # Answers True when the process may end; asked once a tick.
+    may_leave: Callable[[float], bool] = lambda _now_s: True
+
+    def __attrs_post_init__(self) -> None:
+        """Builds what every role has."""
+        self.events = EventLog(self.settings.name, self.clock)
+        self.health = StoreHealth(self.events)
+
+    @property
+    def sources(self) -> tuple[CallSource, ...]:
+        """Returns all that asks the store."""
+        own = (self.announcer,) if self.announcer else ()
+        return (*self.followers.values(), *own)
+
+    def take_settings(self, settings: NodeSettings) -> bool:
+        """Takes changed settings; False when they need a new process."""
+        known = self.settings
+        bound = ('role', 'packets', 'readiness', 'peer', 'store')
+        if any(getattr(known, each) != getattr(settings, each) for each in bound):
+            return False
+        self.settings = settings
+        self.on_settings(settings)
+        return True
--- /dev/null
+++ b/cumindrift/fleet/directory.py
@@ -0,0 +1,77 @@
+"""What a balancer believes of manifest, agents and evacuated data centres."""
+
+from attrs import define, field
+
+from cumindrift.fleet.manifest import Manifest
+
+
+@define(frozen=True, slots=True)
+class AgentEntry:
+    """An agent as its entry in the store tells it."""
+
+    name: str
+    ip: str
+    data_centre: str
+    service: str
+
+
+@define(slots=True, eq=False)
+class Directory:
+    """The beliefs that the store gives, each with its revision.
+
+    Used by the balancer's core; filled by the fleet supervisor's children.
+    """
+
+    manifest: Manifest = field(factory=Manifest)
+    manifest_revision: int = 0
+    agents: dict[str, AgentEntry] = field(factory=dict)
+    evacuated: frozenset[str] = frozenset()
+    has_agents: bool = False
+    has_evacuations: bool = False
+    _by_service: dict[str, tuple[AgentEntry, ...]] = field(factory=dict)
+
+    @property
+    def is_complete(self) -> bool:
+        """Tells whether every kind was read at least once."""
+        return (
+            self.manifest.version > 0
+            and self.has_agents
+            and self.has_evacuations
+        )
+
+    def take_manifest(self, manifest: Manifest, revision: int) -> bool:
+        """Takes a manifest unless a newer one is in force."""
+        if revision <= self.manifest_revision:
+            return False
+        self.manifest = manifest
+        self.manifest_revision = revision
+        return True
+
+    def take_agents(self, agents: dict[str, AgentEntry]) -> None:
+        """Takes the entries of all agents, by the name of their node."""
+        self.agents = agents
+        self.has_agents = True
+        self._by_service.clear()
+
+    def take_evacuations(self, data_centres: frozenset[str]) -> None:
+        """Takes the names of the data centres that get no new flows."""
+        self.evacuated = data_centres
+        self.has_evacuations = True
+        self._by_service.clear()
+
+    def agents_of(self, service: str) -> tuple[AgentEntry, ...]:
+        """Returns the agents of a service that may get new flows."""
+        found = self._by_service.get(service)
+        if found is None:
+            found = tuple(
+                entry
+                for entry in self.agents.values()
+                if entry.service == service
+                and entry.data_centre not in self.evacuated
+            )
+            self._by_service[service] = found
+        return found
+
+    def agent_ips(self) -> frozenset[str]:
+        """Returns the addresses of every agent, of whatever service."""
+        return frozenset(entry.ip for entry in self.agents.values())
--- /dev/null
+++ b/cumindrift/fleet/follower.py
@@ -0,0 +1,125 @@
+"""Follows one kind of objects in the store: a list, then watches."""
+
+from collections.abc import Callable
+from random import Random
+
+from attrs import define, field
+
+from cumindrift.fleet.call import (
+    AnswerTag,
+    CallVerb,
+    StoreAnswer,
+    StoreCall,
+    StoreItem,
+)
+
+# A watch costs a call each time it ends; keep-alive finds dead channels.
+WATCH_WAIT_S = 25.0
+BACKOFF_MIN_S = 0.1
+BACKOFF_MAX_S = 1.0
+
+Objects = dict[str, StoreItem]
+
+
+@define(slots=True, eq=False)
+class KindFollower:
+    """Knows when to ask what about one kind; used by the store's link.
+
+    `gather_s` is the pause after a change, so that changes in quick
+    succession come in one answer.
+    """
+
+    kind: str
+    on_objects: Callable[[Objects], None]
+    random: Random
+    gather_s: float = 0.0
+    objects: Objects = field(factory=dict)
+    failure_count: int = 0
+    # When the last whole list or watch was asked that has been answered.
+    verified_s: float = 0.0
+    on_verified: Callable[[float], None] = lambda _asked_s: None
+    _as_of: int = -1
+    _pages: Objects = field(factory=dict)
+    _after: str = ''
+    _due_s: float = 0.0
+    _asked_s: float = 0.0
+    _is_running: bool = False
+
+    def next_call(self, now_s: float) -> StoreCall | None:
+        """Returns the call that is due now, if any."""
+        if self._is_running or now_s < self._due_s:
+            return None
+        self._is_running = True
+        if self._as_of >= 0:
+            return StoreCall(
+                CallVerb.WATCH,
+                self.kind,
+                revision=self._as_of,
+                wait_s=WATCH_WAIT_S,
+            )
+        if not self._after:
+            self._asked_s = now_s
+        return StoreCall(CallVerb.LIST, self.kind, after=self._after)
+
+    @property
+    def is_watching(self) -> bool:
+        """Tells whether a watch waits, which `list_again` may replace."""
+        return self._is_running and self._as_of >= 0
+
+    def list_again(self) -> None:
+        """Makes the next call a list, once the running call has ended."""
+        self._as_of = -1
+        self._after = ''
+        self._pages = {}
+        self._is_running = False
+        self._due_s = 0.0
+
+    def on_answer(self, answer: StoreAnswer, now_s: float) -> None:
+        """Takes an answer to the last call."""
+        self._is_running = False
+        if answer.tag is AnswerTag.HISTORY_GONE:
+            self.failure_count = 0
+            self.list_again()
+        elif answer.tag is not AnswerTag.DONE:
+            self._fail(now_s)
+        elif self._as_of < 0:
+            self.failure_count = 0
+            self._take_page(answer)
+        else:
+            self.failure_count = 0
+            self._take_events(answer, now_s)
+
+    def _fail(self, now_s: float) -> None:
+        self.failure_count += 1
+        ceiling_s = min(
+            BACKOFF_MAX_S,
+            BACKOFF_MIN_S * 2 ** min(self.failure_count, 10),
+        )
+        self._due_s = now_s + ceiling_s * (1 + self.random.random()) / 2
+
+    def _take_page(self, answer: StoreAnswer) -> None:
+        for item in answer.items:
+            if not item.is_removed:
+                self._pages[item.name] = item
+        if answer.has_more and answer.items:
+            self._after = answer.items[-1].name
+            return
+        self._as_of = answer.as_of
+        self._after = ''
+        self.objects, self._pages = self._pages, {}
+        self.on_objects(self.objects)
+        self.verified_s = self._asked_s
+        self.on_verified(self.verified_s)
+
+    def _take_events(self, answer: StoreAnswer, now_s: float) -> None:
+        self._as_of = max(self._as_of, answer.as_of)
+        if not answer.items:
+            return
+        self.objects = dict(self.objects)
+        for item in answer.items:
+            if item.is_removed:
+                self.objects.pop(item.name, None)
+            else:
+                self.objects[item.name] = item
+        self._due_s = now_s + self.gather_s
+        self.on_objects(self.objects)
--- /dev/null
+++ b/cumindrift/fleet/link.py
@@ -0,0 +1,176 @@
+"""The link to the platform's store: runs the calls that are due."""
+
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+from attrs import define
+from circuits import handler
+
+from cumindrift.address import Endpoint
+from cumindrift.code import ResultCode
+from cumindrift.event import EventLog
+from cumindrift.fleet.call import (
+    AnswerTag,
+    CallVerb,
+    StoreAnswer,
+    StoreCall,
+)
+from cumindrift.metric import STORE_CALLS
+from cumindrift.platform.exchange import HttpExchange
+from cumindrift.platform.http import PlainAnswer
+from cumindrift.platform.objects import decode_answer, encode_call
+from cumindrift.supervision import Child
+from cumindrift.ticker import Ticker
+
+TICK_PERIOD_S = 0.1
+CALL_TIMEOUT_S = 2.0
+_FAILURES = frozenset((AnswerTag.BUSY, AnswerTag.LOST, AnswerTag.MALFORMED))
+
+
+class CallSource(Protocol):
+    """Who knows which call is due: a follower, or an announcer."""
+
+    kind: str
+    failure_count: int
+
+    def next_call(self, now_s: float) -> StoreCall | None:
+        """Returns the call that is due now, if any."""
+
+    def on_answer(self, answer: StoreAnswer, now_s: float) -> None:
+        """Takes the answer to the last call."""
+
+
+@define(slots=True, eq=False)
+class RunningCall:
+    """A call under way, with its exchange and the end of its time."""
+
+    source: CallSource
+    call: StoreCall
+    exchange: HttpExchange
+    until_s: float
+
+
+@define(slots=True, eq=False)
+class StoreHealth:
+    """Whether the store answers this process; told when that changes."""
+
+    events: EventLog
+    lost_since_s: float = 0.0
+    answered_s: float = 0.0
+
+    def note(self, tag: AnswerTag, call: StoreCall, now_s: float) -> None:
+        """Takes how a call ended."""
+        STORE_CALLS.labels(call.verb.value, tag.value).inc()
+        if tag not in _FAILURES:
+            if self.lost_since_s:
+                self.events.note_urgently(
+                    'store-regained',
+                    lost_s=round(now_s - self.lost_since_s, 3),
+                )
+            self.lost_since_s = 0.0
+            self.answered_s = now_s
+        elif not self.lost_since_s:
+            self.lost_since_s = now_s
+            self.events.note_urgently(
+                'store-lost',
+                code=int(ResultCode.PLATFORM_DOWN),
+                result=tag.value,
+                verb=call.verb.value,
+                kind=call.kind,
+                answered_ago_s=round(now_s - self.answered_s, 3),
+            )
+
+
+class StoreLink(Child):
+    """Runs calls for its sources; a child of the fleet supervisor.
+
+    While the store does not answer, only one source asks, so that an
+    outage costs few calls and its end brings no storm.
+    """
+
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        sources: Sequence[CallSource],
+        health: StoreHealth,
+        clock: Callable[[], float],
+    ) -> None:
+        """Serves `sources` from the store at `endpoint`."""
+        super().__init__(channel='store-link')
+        self._endpoint = endpoint
+        self._sources = tuple(sources)
+        self._health = health
+        self._clock = clock
+        self._running: dict[int, RunningCall] = {}
+        self._serial = 0
+        Ticker('store', TICK_PERIOD_S, self.run_due).register(self)
+
+    def release(self) -> None:
+        """Ends all calls; their sources ask again later."""
+        for running in list(self._running.values()):
+            running.exchange.break_off()
+            self._end(running, StoreAnswer(AnswerTag.LOST))
+        self._running.clear()
+
+    @handler('started', channel='*')
+    def _on_started(self, *_details: object) -> None:
+        self.run_due()
+
+    def drop(self, source: CallSource) -> None:
+        """Breaks off the call of one source, and tells the source nothing."""
+        for number, running in list(self._running.items()):
+            if running.source is source:
+                self._running.pop(number)
+                running.exchange.break_off()
+
+    def run_due(self) -> None:
+        """Ends the calls that are out of time and starts those due."""
+        now_s = self._clock()
+        for number, running in list(self._running.items()):
+            if now_s >= running.until_s:
+                self._running.pop(number)
+                running.exchange.break_off()
+                self._end(running, StoreAnswer(AnswerTag.LOST))
+        for source in self._allowed_sources():
+            call = source.next_call(now_s)
+            if call is not None:
+                self._start(source, call, now_s)
+
+    def _allowed_sources(self) -> tuple[CallSource, ...]:
+        if not self._health.lost_since_s:
+            return self._sources
+        for running in self._running.values():
+            if running.call.verb is not CallVerb.WATCH:
+                return (running.source,)
+        # The source that failed least often asks for all.
+        return (min(self._sources, key=lambda each: each.failure_count),)
+
+    def _start(self, source: CallSource, call: StoreCall, now_s: float) -> None:
+        self._serial += 1
+        number = self._serial
+
+        def on_end(answer: PlainAnswer | None, _was_sent: bool) -> None:
+            running = self._running.pop(number, None)
+            if running is None:
+                return
+            decoded = StoreAnswer(AnswerTag.LOST)
+            if answer is not None:
+                decoded = decode_answer(answer.status, answer.body)
+            self._end(running, decoded)
+            self.run_due()
+
+        exchange = HttpExchange(
+            f'store-{number}',
+            self._endpoint,
+            encode_call(call),
+            on_end,
+        )
+        until_s = now_s + CALL_TIMEOUT_S + call.wait_s
+        self._running[number] = RunningCall(source, call, exchange, until_s)
+        exchange.register(self)
+        exchange.start()
+
+    def _end(self, running: RunningCall, answer: StoreAnswer) -> None:
+        now_s = self._clock()
+        self._health.note(answer.tag, running.call, now_s)
+        running.source.on_answer(answer, now_s)
--- /dev/null
+++ b/cumindrift/fleet/manifest.py
@@ -0,0 +1,41 @@
+"""The manifest: which service a route's new flows go to."""
+
+from attrs import define, field
+
+from cumindrift.address import Endpoint
+
+
+@define(frozen=True, slots=True)
+class Share:
+    """One service of a route and its weight among the others."""
+
+    service: str
+    weight: float = 1.0
+
+
+@define(frozen=True, slots=True)
+class Manifest:
+    """One version of what the operators want, by service address."""
+
+    version: int = 0
+    routes: dict[Endpoint, tuple[Share, ...]] = field(factory=dict)
+    # New flows a second that a cold target bears; absent means no bound.
+    cold_rates: dict[str, float] = field(factory=dict)
+    idle_timeout_s: float = 15.0
+
+    def shares_of(self, address: Endpoint) -> tuple[Share, ...]:
+        """Returns the services behind an address; empty without a route."""
+        return self.routes.get(address, ())
+
+
+def pick_service(shares: tuple[Share, ...], draw: float) -> str | None:
+    """Returns the service that `draw`, from 0 to 1, falls on."""
+    total = sum(share.weight for share in shares)
+    if total <= 0:
+        return None
+    left = draw * total
+    for share in shares:
+        left -= share.weight
+        if left < 0:
+            return share.service
+    return shares[-1].service
--- a/cumindrift/invariant.py
+++ b/cumindrift/invariant.py
@@ -3,8 +3,8 @@
 from typing import Any
 
 from attrs import define
-from loguru import logger
 
+from cumindrift.deferred import logger
 from cumindrift.metric import VIOLATIONS
 
 
--- a/cumindrift/metric.py
+++ b/cumindrift/metric.py
@@ -1,12 +1,112 @@
-"""Metrics of the whole process, in one place so that names stay unique."""
+"""Metrics of the whole process, in one place so that names stay unique.
 
-from prometheus_client import Counter, Gauge, Histogram
+The instruments are plain counters, cheap to make and to use on the path of
+a packet; `cumindrift/exposition.py` turns them into the Prometheus format
+when somebody asks.
+"""
+
+from bisect import bisect_left
+from typing import Any
+
+from attrs import define, field
 
 _DURATION_BUCKETS_S = (
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30, 60,
 )  # fmt: skip
 _TENANT_LABELS = ('team', 'service')
 
+@define(slots=True, eq=False)
+class Sample:
+    """One series: a number that counts up or is set."""
+
+    total: float = 0.0
+
+    def inc(self, amount: float = 1) -> None:
+        """Counts `amount` more."""
+        self.total += amount
+
+    def set(self, amount: float) -> None:
+        """Replaces the number."""
+        self.total = amount
+
+
+@define(slots=True, eq=False)
+class Distribution:
+    """One series of a histogram: how many observations fell where."""
+
+    bounds: tuple[float, ...]
+    total: float = 0.0
+    counts: list[int] = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Makes a count for each bound, and one for what is above all."""
+        self.counts = [0] * (len(self.bounds) + 1)
+
+    def observe(self, amount: float) -> None:
+        """Counts one observation."""
+        self.counts[bisect_left(self.bounds, amount)] += 1
+        self.total += amount
+
+
+@define(slots=True, eq=False)
+class Instrument:
+    """A metric with its series by label values; see `metrics`."""
+
+    name: str
+    documentation: str
+    label_names: tuple[str, ...] = ()
+    series: dict[tuple[str, ...], Any] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        """Files the metric, and its only series when it has no labels."""
+        metrics.append(self)
+        if not self.label_names:
+            self.labels()
+
+    def labels(self, *label_values: str) -> Any:
+        """Returns the series with these label values, made on first use."""
+        found = self.series.get(label_values)
+        if found is None:
+            if len(label_values) != len(self.label_names):
+                raise ValueError(f'{self.name} has labels {self.label_names}')
+            found = self.make_series()
+            self.series[label_values] = found
+        return found
+
+    def make_series(self) -> Any:
+        """Returns an empty series."""
+        return Sample()
+
+
+class Counter(Instrument):
+    """A number that only grows."""
+
+    def inc(self, amount: float = 1) -> None:
+        """Counts in the only series of a metric without labels."""
+        self.series[()].inc(amount)
+
+
+class Gauge(Instrument):
+    """A number that is set."""
+
+    def set(self, amount: float) -> None:
+        """Sets the only series of a metric without labels."""
+        self.series[()].set(amount)
+
+
+@define(slots=True, eq=False)
+class Histogram(Instrument):
+    """Counts observations by size."""
+
+    buckets: tuple[float, ...] = _DURATION_BUCKETS_S
+
+    def make_series(self) -> Distribution:
+        """Returns an empty distribution over the buckets."""
+        return Distribution(self.buckets)
+
+
+metrics: list[Instrument] = []
+
 PACKETS = Counter(
     'cumindrift_datagrams',
     'Datagrams received and sent.',
@@ -87,3 +187,31 @@
     'Requests whose answer was complete before their deadline.',
     _TENANT_LABELS,
 )
+FLOW_DECISIONS = Counter(
+    'cumindrift_flow_decisions',
+    'Decisions about flows on the users\' platform, by service.',
+    ('decision', 'service'),
+)
+OPEN_HOPS = Histogram(
+    'cumindrift_open_hops',
+    'Agents that passed an opening packet on before one took it.',
+    ('service',),
+    buckets=(0, 1, 2, 3, 4, 6, 8),
+)
+OPEN_SECONDS = Histogram(
+    'cumindrift_open_seconds',
+    'Time from an opening packet at the agent to the answer of its target.',
+    ('service',),
+    buckets=_DURATION_BUCKETS_S,
+)
+RESPONSE_SECONDS = Histogram(
+    'cumindrift_response_seconds',
+    'Time from data of a client to the first data of the target.',
+    ('service',),
+    buckets=_DURATION_BUCKETS_S,
+)
+STORE_CALLS = Counter(
+    'cumindrift_store_calls',
+    'Calls to the store of the platform, by what they ask and their end.',
+    ('verb', 'result'),
+)
--- /dev/null
+++ b/cumindrift/platform/objects.py
@@ -0,0 +1,112 @@
+"""Calls to the users' store over HTTP/1.1 with JSON bodies."""
+
+import json
+from typing import Any
+from urllib.parse import quote
+
+from cumindrift.exchange import PlainRequest
+from cumindrift.fleet.call import (
+    AnswerTag,
+    CallVerb,
+    StoreAnswer,
+    StoreCall,
+    StoreItem,
+)
+
+_PATH = '/cumindrift/objects'
+_MS_PER_S = 1000
+_METHODS = {
+    CallVerb.CREATE: 'POST',
+    CallVerb.REPLACE: 'PUT',
+    CallVerb.REMOVE: 'DELETE',
+}
+_TAGS = {
+    404: AnswerTag.ABSENT,
+    409: AnswerTag.CONFLICT,
+    410: AnswerTag.HISTORY_GONE,
+    429: AnswerTag.BUSY,
+    503: AnswerTag.BUSY,
+}
+_OK_MIN, _OK_END = 200, 300
+
+
+def encode_call(call: StoreCall) -> PlainRequest:
+    """Returns the request for a call."""
+    path = f'{_PATH}/{quote(call.kind, safe="")}'
+    if call.name and call.verb is not CallVerb.CREATE:
+        path = f'{path}/{quote(call.name, safe="")}'
+    query = '&'.join(_query_of(call))
+    target = f'{path}?{query}' if query else path
+    if call.verb not in {CallVerb.CREATE, CallVerb.REPLACE}:
+        return PlainRequest(_METHODS.get(call.verb, 'GET'), target)
+    meta: dict[str, Any] = {'name': call.name}
+    if call.revision:
+        meta['revision'] = call.revision
+    body = json.dumps({'meta': meta, 'spec': call.content}).encode()
+    headers = {'Content-Type': 'application/json'}
+    return PlainRequest(_METHODS[call.verb], target, headers, body)
+
+
+def decode_answer(status: int, body: bytes) -> StoreAnswer:
+    """Returns what an answer says; whatever cannot be read is malformed."""
+    tag = _TAGS.get(status)
+    if tag is None:
+        is_ok = _OK_MIN <= status < _OK_END
+        tag = AnswerTag.DONE if is_ok else AnswerTag.MALFORMED
+    if tag not in {AnswerTag.DONE, AnswerTag.CONFLICT} or not body:
+        return StoreAnswer(tag)
+    try:
+        return _answer_of(tag, json.loads(body))
+    except (ValueError, TypeError, KeyError, AttributeError):
+        return StoreAnswer(AnswerTag.MALFORMED)
+
+
+def _query_of(call: StoreCall) -> list[str]:
+    query = []
+    if call.after:
+        query.append(f'after={quote(call.after, safe="")}')
+    if call.verb is CallVerb.WATCH:
+        wait_ms = int(call.wait_s * _MS_PER_S)
+        query.extend((f'watch={call.revision}', f'wait_ms={wait_ms}'))
+    if call.verb is CallVerb.REMOVE and call.revision:
+        query.append(f'revision={call.revision}')
+    if call.may_be_stale:
+        query.append('serializable=1')
+    return query
+
+
+def _answer_of(tag: AnswerTag, bare: dict[str, Any]) -> StoreAnswer:
+    if 'items' in bare:
+        read = [_item_of(item, is_removed=False) for item in bare['items']]
+    elif 'events' in bare:
+        read = [
+            _item_of(event['object'], is_removed=bool(event.get('removed')))
+            for event in bare['events']
+        ]
+    elif 'meta' in bare:
+        read = [_item_of(bare, is_removed=False)]
+    else:
+        read = []
+    items = tuple(item for item in read if item is not None)
+    return StoreAnswer(
+        tag,
+        items,
+        int(bare.get('as_of', 0)),
+        bool(bare.get('has_more')),
+        len(read) - len(items),
+    )
+
+
+def _item_of(bare: Any, *, is_removed: bool) -> StoreItem | None:
+    """Reads one object; None for what another writer left unreadable."""
+    if not isinstance(bare, dict) or not isinstance(bare.get('meta'), dict):
+        return None
+    meta = bare['meta']
+    if not isinstance(meta.get('name'), str):
+        return None
+    revision = meta.get('revision')
+    if not isinstance(revision, int):
+        revision = 0
+    # An object that waits for its finalizers counts as removed.
+    is_removed = is_removed or bool(meta.get('deleting'))
+    return StoreItem(meta['name'], revision, bare.get('spec'), is_removed)
--- /dev/null
+++ b/cumindrift/platform/packet.py
@@ -0,0 +1,91 @@
+"""The head of a packet on the users' fabric."""
+
+from struct import Struct
+
+from cumindrift.address import Endpoint
+from cumindrift.steering.packet import FlowPacket
+
+_HEAD = Struct('>IIHBBH4sH4sII')
+HEAD_BYTES = _HEAD.size
+_FLAGS_AT = 10
+_SYN, _ACK, _FIN, _RST, _BOUNCED = 1, 128, 8, 4, 2
+
+
+def read_from_client(octets: bytes) -> FlowPacket | None:
+    """Reads a packet of a client; None when it is truncated."""
+    if len(octets) < HEAD_BYTES:
+        return None
+    # Port, address, port and address lie side by side: the flow's key.
+    return _read(octets, octets[12:24])
+
+
+def read_from_target(octets: bytes) -> FlowPacket | None:
+    """Reads what a target sent: its own packet, or one that it bounced."""
+    if len(octets) < HEAD_BYTES:
+        return None
+    if octets[_FLAGS_AT] & _BOUNCED:
+        bounced = _read(_restore(octets), octets[12:24])
+        bounced.is_bounced = True
+        return bounced
+    flow_key = octets[18:20] + octets[20:24] + octets[12:14] + octets[14:18]
+    return _read(octets, flow_key)
+
+
+def make_reset(packet: FlowPacket) -> bytes:
+    """Returns a reset to the client that sent `packet`."""
+    key = packet.flow_key
+    return _HEAD.pack(
+        0,
+        0,
+        0,
+        _RST,
+        0,
+        int.from_bytes(key[6:8]),
+        key[8:12],
+        int.from_bytes(key[:2]),
+        key[2:6],
+        packet.acknowledged,
+        0,
+    )
+
+
+def client_ip(flow_key: bytes) -> str:
+    """Returns the client's address in a flow key."""
+    return '.'.join(map(str, flow_key[8:12]))
+
+
+def service_endpoint(flow_key: bytes) -> Endpoint:
+    """Returns the service address that a flow key names."""
+    ip = '.'.join(map(str, flow_key[2:6]))
+    return Endpoint(ip, int.from_bytes(flow_key[6:8]))
+
+
+def describe(flow_key: bytes) -> str:
+    """Returns a flow key for logs: client, then service."""
+    client = f'{client_ip(flow_key)}:{int.from_bytes(flow_key[:2])}'
+    return f'{client}>{service_endpoint(flow_key)}'
+
+
+def _read(octets: bytes, flow_key: bytes) -> FlowPacket:
+    head = _HEAD.unpack_from(octets)
+    flags = head[3]
+    is_syn = bool(flags & _SYN)
+    return FlowPacket(
+        octets=octets,
+        flow_key=flow_key,
+        is_open=is_syn and not flags & _ACK,
+        is_answer=is_syn and bool(flags & _ACK),
+        is_reset=bool(flags & _RST),
+        is_last=bool(flags & _FIN),
+        is_bounced=False,
+        sequence=head[9],
+        acknowledged=head[10],
+        payload_bytes=head[2],
+    )
+
+
+def _restore(octets: bytes) -> bytes:
+    """Returns a bounced packet as its sender wrote it."""
+    # The first word and the pad belong to the steering, not to the sender.
+    flags = octets[_FLAGS_AT] & ~_BOUNCED
+    return b'\0\0\0\0' + octets[4:10] + bytes((flags, 0)) + octets[12:]
--- /dev/null
+++ b/cumindrift/steering/flow.py
@@ -0,0 +1,112 @@
+"""Flows of one target, as the agent beside it knows them."""
+
+from attrs import define, field
+
+from cumindrift.steering.frame import Carried
+from cumindrift.steering.packet import FlowPacket, follows
+
+FLOWS_MAX = 65_536
+# Weight of a new response time in the running mean.
+_MEAN_WEIGHT = 0.1
+_MS_PER_S = 1000
+
+
+@define(slots=True, eq=False)
+class Flow:
+    """A flow that the target holds or is about to hold.
+
+    `opening` is the carried SYN, kept until the target answered it.
+    """
+
+    origin_ip: str
+    opened_s: float
+    seen_s: float
+    opening: Carried | None = None
+    target_sequence: int | None = None
+    is_established: bool = False
+    busy_since_s: float = 0.0
+    # The client's last acknowledgement, which a reset must be near.
+    client_packet: FlowPacket | None = None
+    has_client_closed: bool = False
+
+
+@define(slots=True, eq=False)
+class FlowTable:
+    """All flows of a target; idle and old ones are forgotten."""
+
+    idle_timeout_s: float
+    lifetime_s: float
+    flows: dict[bytes, Flow] = field(factory=dict)
+    busy_count: int = 0
+    response_s: float = 0.0
+
+    def add(self, flow_key: bytes, flow: Flow) -> Flow:
+        """Files a flow; the oldest goes when there are too many."""
+        if len(self.flows) >= FLOWS_MAX:
+            self.remove(next(iter(self.flows)))
+        self.flows[flow_key] = flow
+        return flow
+
+    def remove(self, flow_key: bytes) -> Flow | None:
+        """Forgets a flow and returns it."""
+        flow = self.flows.pop(flow_key, None)
+        if flow is not None and flow.busy_since_s:
+            self.busy_count -= 1
+        return flow
+
+    def accepts(self, flow: Flow, packet: FlowPacket) -> bool:
+        """Tells whether a client's packet belongs to this target's flow.
+
+        The first packet after the SYN acknowledges one target's sequence;
+        a target whose answer came second does not hold the flow.
+        """
+        if flow.is_established:
+            return True
+        sequence = flow.target_sequence
+        if sequence is None or not follows(packet.acknowledged, sequence):
+            return False
+        flow.is_established = True
+        return True
+
+    def note_client(self, flow: Flow, packet: FlowPacket, now_s: float) -> None:
+        """Takes a client's packet; data makes the flow busy."""
+        flow.seen_s = now_s
+        flow.client_packet = packet
+        flow.has_client_closed = flow.has_client_closed or packet.is_last
+        if packet.payload_bytes and not flow.busy_since_s:
+            flow.busy_since_s = now_s
+            self.busy_count += 1
+
+    def note_target(self, flow: Flow, packet: FlowPacket, now_s: float) -> None:
+        """Takes a packet of the target; data ends a busy time."""
+        flow.seen_s = now_s
+        if packet.is_answer:
+            flow.target_sequence = packet.sequence
+            flow.opening = None
+        elif packet.payload_bytes and flow.busy_since_s:
+            self._observe(now_s - flow.busy_since_s)
+            flow.busy_since_s = 0.0
+            self.busy_count -= 1
+
+    @property
+    def response_ms(self) -> int:
+        """Returns the running mean of the time to the first answer."""
+        return int(self.response_s * _MS_PER_S)
+
+    def expire(self, now_s: float) -> int:
+        """Forgets what may be forgotten; returns how many flows went."""
+        expired = [
+            flow_key
+            for flow_key, flow in self.flows.items()
+            if now_s - flow.seen_s > self.idle_timeout_s
+            or now_s - flow.opened_s > self.lifetime_s * 2
+        ]
+        for flow_key in expired:
+            self.remove(flow_key)
+        return len(expired)
+
+    def _observe(self, taken_s: float) -> None:
+        if self.response_s:
+            self.response_s += (taken_s - self.response_s) * _MEAN_WEIGHT
+        else:
+            self.response_s = taken_s
--- /dev/null
+++ b/cumindrift/steering/packet.py
@@ -0,0 +1,32 @@
+"""Packets of flows, as the cores see them; the adapter reads and writes."""
+
+from attrs import define
+
+# Client's port and address, service's address and port: 12 octets.
+FLOW_KEY_BYTES = 12
+SEQUENCE_SPACE = 1 << 32
+
+
+@define(slots=True, eq=False)
+class FlowPacket:
+    """One packet, read far enough to steer it.
+
+    `flow_key` is the same for both directions. `sequence` and
+    `acknowledged` are those of the sender's end.
+    """
+
+    octets: bytes
+    flow_key: bytes
+    is_open: bool
+    is_answer: bool
+    is_reset: bool
+    is_last: bool
+    is_bounced: bool
+    sequence: int
+    acknowledged: int
+    payload_bytes: int
+
+
+def follows(acknowledged: int, sequence: int) -> bool:
+    """Tells whether an acknowledgement answers an opening `sequence`."""
+    return (acknowledged - sequence) % SEQUENCE_SPACE <= 1
--- /dev/null
+++ b/cumindrift/steering/page.py
@@ -0,0 +1,65 @@
+"""Pages that a node serves: readiness, heartbeats, metrics."""
+
+from cumindrift.administration.answer import (
+    HttpAnswer,
+    HttpRequest,
+    Route,
+    answer_refusal,
+)
+from cumindrift.fleet.context import NodeContext
+from cumindrift.fleet.supervisor import announce_agent
+from cumindrift.outcome import Refused
+from cumindrift.platform.documents import read_heartbeat
+from cumindrift.registry import Registry
+
+# The adapter's paths begin with the product's name.
+READY_PATH = '/ready'
+TARGETS_PATH = '/instances/'
+STATUS_OK = 200
+STATUS_UNAVAILABLE = 503
+
+readiness_routes: Registry[Route] = Registry('readiness route')
+heartbeat_routes: Registry[Route] = Registry('heartbeat route')
+metric_routes: Registry[Route] = Registry('metrics route')
+
+
+@readiness_routes.register('GET /cumindrift')
+def show_ready(context: NodeContext, request: HttpRequest) -> HttpAnswer:
+    """Answers 200 while routers shall send packets here."""
+    is_ready = context.directory.is_complete and not context.is_stopping
+    status = STATUS_OK if is_ready else STATUS_UNAVAILABLE
+    return HttpAnswer.of_json(status, {'ready': is_ready})
+
+
+@heartbeat_routes.register('PUT /cumindrift')
+def take_beat(context: NodeContext, request: HttpRequest) -> HttpAnswer:
+    """Takes a heartbeat; the answer says that it is in force."""
+    target_id = request.rest.removeprefix(TARGETS_PATH)
+    outcome = read_heartbeat(target_id, request.body)
+    if isinstance(outcome, Refused):
+        context.events.note(
+            'beat-unreadable',
+            target=target_id,
+            code=int(outcome.code),
+            detail=outcome.detail,
+        )
+        return answer_refusal(outcome)
+    beat = outcome.content
+    context.core.on_beat(beat, context.clock())
+    announce_agent(context, context.core.target.beat.service)
+    return HttpAnswer.of_json(STATUS_OK, {})
+
+
+@heartbeat_routes.register('DELETE /cumindrift')
+def take_leave(context: NodeContext, request: HttpRequest) -> HttpAnswer:
+    """Takes a target's last word."""
+    context.core.on_left(request.rest.removeprefix(TARGETS_PATH))
+    return HttpAnswer.of_json(STATUS_OK, {})
+
+
+@metric_routes.register('GET /metrics')
+def show_metrics(context: NodeContext, request: HttpRequest) -> HttpAnswer:
+    """Answers with all metrics; what renders them is loaded when asked."""
+    from cumindrift.exposition import CONTENT_TYPE, render_metrics  # noqa: PLC0415, WPS433
+
+    return HttpAnswer(STATUS_OK, render_metrics(), CONTENT_TYPE)
--- /dev/null
+++ b/cumindrift/steering/target.py
@@ -0,0 +1,168 @@
+"""What an agent believes of the target beside it."""
+
+from collections import deque
+from enum import Enum, unique
+
+from attrs import define, field
+
+from cumindrift.address import Endpoint
+from cumindrift.fleet.settings import NodeBounds
+
+# Beats that a target may miss before it counts as silent.
+BEATS_MISSED_MAX = 3
+# A sliding second and a little, since arrivals are judged elsewhere.
+COLD_WINDOW_S = 1.1
+# A target that says it started this much after us started under our eyes;
+# less may be a jump of the time of day.
+CLOCK_SLACK_MS = 3000
+
+
+@define(frozen=True, slots=True)
+class Heartbeat:
+    """What a target says of itself; `incarnation` is its start in Unix ms."""
+
+    target_id: str
+    service: str
+    packets: Endpoint
+    is_draining: bool
+    slots: int
+    cold_s: float
+    sequence: int
+    incarnation: int
+
+
+@unique
+class Refusal(Enum):
+    """Why a target takes no new flow now."""
+
+    UNKNOWN = 'no heartbeat yet'
+    OTHER_SERVICE = 'another service'
+    DRAINING = 'draining'
+    COLD = 'cold'
+    SILENT = 'silent'
+    GONE = 'gone'
+    FULL = 'full'
+
+
+@unique
+class BeatEffect(Enum):
+    """What a heartbeat changed."""
+
+    STALE = 'stale'
+    SAME = 'same'
+    CHANGED = 'changed'
+    NEW_INCARNATION = 'new incarnation'
+
+
+@define(slots=True, eq=False)
+class TargetState:
+    """Follows one target through its incarnations; used by the agent."""
+
+    bounds: NodeBounds
+    heartbeat_s: float
+    started_ms: int
+    # Whether nothing ran here before this process.
+    is_first_start: bool = False
+    beat: Heartbeat | None = None
+    beat_s: float = 0.0
+    is_gone: bool = False
+    is_silent: bool = False
+    is_sure: bool = False
+    _cold_until_s: float = 0.0
+    _opened_s: deque[float] = field(factory=deque)
+
+    @property
+    def incarnation(self) -> int:
+        """Returns the incarnation of the last heartbeat, or 0."""
+        return self.beat.incarnation if self.beat else 0
+
+    @property
+    def slots(self) -> int:
+        """Returns how many requests the target works on at once."""
+        return max(self.beat.slots, 1) if self.beat else 1
+
+    def on_beat(self, beat: Heartbeat, now_s: float) -> BeatEffect:
+        """Takes a heartbeat unless it is older than what is known."""
+        known = self.beat
+        if known is not None and self._is_stale(known, beat, now_s):
+            return BeatEffect.STALE
+        is_new = known is None or (
+            (known.incarnation, known.target_id)
+            != (beat.incarnation, beat.target_id)
+        )
+        is_changed = is_new or known.is_draining != beat.is_draining
+        if is_new:
+            self.is_sure = known is not None or self._began_here(beat)
+        self.beat = beat
+        self.beat_s = now_s
+        self.is_gone = False
+        self.is_silent = False
+        self._cold_until_s = now_s + beat.cold_s
+        if is_new:
+            return BeatEffect.NEW_INCARNATION
+        return BeatEffect.CHANGED if is_changed else BeatEffect.SAME
+
+    def on_left(self, target_id: str) -> bool:
+        """Takes the last word of a target; False when it is not this one."""
+        if self.beat is None or self.beat.target_id != target_id:
+            return False
+        self.is_gone = True
+        return True
+
+    def refusal(
+        self,
+        service: str | None,
+        cold_rate: float,
+        now_s: float,
+    ) -> Refusal | None:
+        """Tells why the target may not take a new flow of `service`."""
+        beat = self.beat
+        if beat is None:
+            return Refusal.UNKNOWN
+        if service is not None and beat.service != service:
+            return Refusal.OTHER_SERVICE
+        if self.is_gone:
+            return Refusal.GONE
+        if beat.is_draining:
+            return Refusal.DRAINING
+        if self.is_silent or self._has_missed_beats(now_s):
+            return Refusal.SILENT
+        if not self._bears_another(cold_rate, now_s):
+            return Refusal.COLD
+        return None
+
+    def note_open(self, now_s: float) -> None:
+        """Counts a new flow against what a cold target bears."""
+        self._opened_s.append(now_s)
+
+    def _has_missed_beats(self, now_s: float) -> bool:
+        return now_s - self.beat_s > self.heartbeat_s * BEATS_MISSED_MAX
+
+    def _bears_another(self, cold_rate: float, now_s: float) -> bool:
+        opened_s = self._opened_s
+        while opened_s and opened_s[0] < now_s - COLD_WINDOW_S:
+            opened_s.popleft()
+        if not cold_rate or now_s >= self._cold_until_s:
+            return True
+        bounds = self.bounds
+        most = cold_rate * bounds.cold_rate_factor + bounds.cold_rate_slack
+        return len(opened_s) + 1 < most
+
+    def _is_stale(
+        self,
+        known: Heartbeat,
+        beat: Heartbeat,
+        now_s: float,
+    ) -> bool:
+        if known.incarnation == beat.incarnation:
+            is_same = known.target_id == beat.target_id
+            return is_same and beat.sequence <= known.sequence
+        if beat.incarnation > known.incarnation:
+            return False
+        # The time of day may have jumped back between two starts: an earlier
+        # start counts once the later one has fallen silent.
+        return not self.is_gone and not self._has_missed_beats(now_s)
+
+    def _began_here(self, beat: Heartbeat) -> bool:
+        began_ms = self.started_ms + CLOCK_SLACK_MS
+        return self.is_first_start or beat.incarnation > began_ms
--- a/cumindrift/supervision.py
+++ b/cumindrift/supervision.py
@@ -7,9 +7,9 @@
 
 from attrs import define, field
 from circuits import Component, handler
-from loguru import logger
 
 from cumindrift.code import ResultCode
+from cumindrift.deferred import logger
 from cumindrift.registry import Registry
 
 RESTARTS_MAX = 5
--- a/features/steps/keyring_steps.py
+++ b/features/steps/keyring_steps.py
@@ -50,7 +50,7 @@
 @when('a datagram arrives that is {kind}')
 def step_arrives(context, kind):
     context.counts = {
-        code: DROPS.labels(code)._value.get()
+        code: DROPS.labels(code).total
         for code in ('MESSAGE_FORGED', 'MESSAGE_MALFORMED')
     }
     context.reader.read(datagram_that_is(kind))
@@ -60,7 +60,7 @@
 def step_counted(context, code):
     assert not context.received, context.received
     for name, before in context.counts.items():
-        counted = DROPS.labels(name)._value.get() - before
+        counted = DROPS.labels(name).total - before
         assert counted == (name == code), (name, counted)
 
 
--- a/features/steps/member_core_steps.py
+++ b/features/steps/member_core_steps.py
@@ -102,7 +102,7 @@
     sender = Sender(member.claim(), member.endpoint)
     context.before = context.core.view.members
     context.counts = {
-        code: DROPS.labels(code)._value.get()
+        code: DROPS.labels(code).total
         for code in (
             'MESSAGE_MISDIRECTED',
             'MESSAGE_STALE',
@@ -130,7 +130,7 @@
 @then('its view is unchanged and {code} was counted')
 def step_unchanged(context, code):
     assert dict(context.core.view.members) == dict(context.before)
-    counted = DROPS.labels(code)._value.get() - context.counts[code]
+    counted = DROPS.labels(code).total - context.counts[code]
     assert counted == 1, counted
 
 
--- a/lab/metric_table.py
+++ b/lab/metric_table.py
@@ -1,12 +1,11 @@
 """Prints the table of metrics that docs/METRICS.md holds."""
 
 import sys
-from inspect import getmembers
 
-from prometheus_client.metrics import MetricWrapperBase
 from tabulate import tabulate
 
-from cumindrift import metric
+from cumindrift.exposition import family_of
+from cumindrift.metric import metrics
 
 _HEADERS = ('metric', 'kind', 'labels', 'meaning')
 
@@ -14,19 +13,17 @@
 def metric_rows() -> list[tuple[str, str, str, str]]:
     """Returns name, kind, labels and meaning of every metric, by name."""
     rows = []
-    for _, wrapper in getmembers(metric):
-        if isinstance(wrapper, MetricWrapperBase):
-            family = wrapper.describe()[0]
-            suffix = '_total' if family.type == 'counter' else ''
-            labels = ', '.join(wrapper._labelnames)  # noqa: WPS437
-            rows.append(
-                (
-                    f'`{family.name}{suffix}`',
-                    family.type,
-                    labels,
-                    family.documentation,
-                )
+    for instrument in metrics:
+        family = family_of(instrument)
+        suffix = '_total' if family.type == 'counter' else ''
+        rows.append(
+            (
+                f'`{family.name}{suffix}`',
+                family.type,
+                ', '.join(instrument.label_names),
+                family.documentation,
             )
+        )
     return sorted(rows)
 
 
