--- a/cumindrift/administration/answer.py
+++ b/cumindrift/administration/answer.py
@@ -34,7 +34,7 @@
     return None
 
 
-@define(frozen=True, slots=True)
+@define(frozen=True, slots=True, eq=False, repr=False)
 class HttpRequest:
     """A whole request; `headers` has lower-case names."""
 
@@ -65,7 +65,7 @@
         return read_number(found[0])
 
 
-@define(frozen=True, slots=True)
+@define(frozen=True, slots=True, eq=False, repr=False)
 class HttpAnswer:
     """A whole answer."""
 
@@ -79,7 +79,7 @@
         return cls(status, f'{json.dumps(bare)}\n'.encode())
 
 
-@define(frozen=True, slots=True)
+@define(frozen=True, slots=True, eq=False, repr=False)
 class Responder:
     """What a route that answers later is given."""
 
@@ -88,7 +88,7 @@
     call_after: Callable[[float, Callable[[], None]], None]
 
 
-@define(frozen=True, slots=True)
+@define(frozen=True, slots=True, eq=False, repr=False)
 class Later:
     """Returned by a route that answers by callback, once."""
 
--- a/cumindrift/event.py
+++ b/cumindrift/event.py
@@ -19,7 +19,7 @@
 WRITE_LINES_MAX = 64
 
 
-@define(slots=True, eq=False)
+@define(slots=True, eq=False, repr=False)
 class EventLog:
     """Keeps events until `flush` writes them; used by every part of a node.
 
--- a/cumindrift/exchange.py
+++ b/cumindrift/exchange.py
@@ -18,9 +18,9 @@
 )
 from typing import Any
 
-import h11
 from attrs import define, field
 from circuits import Event, handler
+from httptools import HttpParserError, HttpResponseParser
 
 from cumindrift.address import Endpoint
 from cumindrift.port import find_poller
@@ -34,11 +34,14 @@
 UNACKNOWLEDGED_MS = 3000
 
 
+Headers = dict[str, str]
+
+
 class broken(Event):  # noqa: N801 - circuits derives event names from classes
     """Fired when a connection could not even be started."""
 
 
-@define(frozen=True, slots=True)
+@define(frozen=True, slots=True, eq=False, repr=False)
 class PlainRequest:
     """What an exchange sends; the usual headers are added to `headers`."""
 
@@ -48,6 +51,15 @@
     body: bytes = b''
 
 
+@define(frozen=True, slots=True, eq=False, repr=False)
+class PlainAnswer:
+    """A whole answer; header names are in lower case."""
+
+    status: int
+    headers: Headers
+    body: bytes = b''
+
+
 class ClientExchange(Child):
     """Sends one request and reads its answer as it comes, then is gone.
 
@@ -66,8 +78,8 @@
         """Connects when it is started."""
         super().__init__(channel=f'exchange-{name}')
         self._endpoint = endpoint
-        self._http = h11.Connection(h11.CLIENT)
-        self._unsent = self._encode(request)
+        self._parser = HttpResponseParser(AnswerReader(self))
+        self._unsent = encode_request(endpoint, request)
         self._is_connected = False
         self._is_over = False
         self._is_reading = False
@@ -84,8 +96,8 @@
             self._sock.setsockopt(level, option, amount)
 
     @abstractmethod
-    def on_head(self, response: h11.Response) -> None:
-        """Takes status and headers."""
+    def on_head(self, status: int, headers: Headers) -> None:
+        """Takes status and headers, whose names are in lower case."""
 
     @abstractmethod
     def on_data(self, octets: bytes) -> None:
@@ -188,43 +200,68 @@
         return True
 
     def _receive(self, octets: bytes) -> None:
+        if not octets:
+            # Closed before the end of the answer.
+            self.fail()
+            return
         try:
-            self._http.receive_data(octets)
-            has_more = True
-            while has_more and not self._is_over:
-                has_more = self._take_event()
-        except h11.ProtocolError:
+            self._parser.feed_data(octets)
+        except HttpParserError:
             self.fail()
 
-    def _take_event(self) -> bool:
-        """Takes one event of h11; False when it needs more octets."""
-        event = self._http.next_event()
-        if isinstance(event, h11.Response):
-            self.on_head(event)
-        elif isinstance(event, h11.Data):
-            self.on_data(bytes(event.data))
-        elif isinstance(event, h11.EndOfMessage):
+    def take_head(self, headers: Headers) -> None:
+        """Takes the headers when all of them were read."""
+        if not self._is_over:
+            self.on_head(self._parser.get_status_code(), headers)
+
+    def take_body(self, octets: bytes) -> None:
+        """Takes a piece of the body."""
+        if not self._is_over:
+            self.on_data(octets)
+
+    def take_end(self) -> None:
+        """Takes the end of the answer."""
+        if not self._is_over:
             self.finish()
             self.on_end()
-        elif isinstance(event, h11.ConnectionClosed):
-            self.fail()
-        else:
-            return not isinstance(event, type)
-        return True
 
-    def _encode(self, request: PlainRequest) -> bytes:
-        head = h11.Request(
-            method=request.method,
-            target=request.target,
-            headers=[
-                ('Host', str(self._endpoint)),
-                ('Content-Length', str(len(request.body))),
-                ('Connection', 'close'),
-                *request.headers.items(),
-            ],
-        )
-        return (
-            self._http.send(head)
-            + self._http.send(h11.Data(data=request.body))
-            + self._http.send(h11.EndOfMessage())
+
+class AnswerReader:
+    """Hands what the parser reads to an exchange."""
+
+    def __init__(self, exchange: ClientExchange) -> None:
+        """Takes the exchange whose answer is read."""
+        self._exchange = exchange
+        self._headers: Headers = {}
+
+    def on_header(self, name: bytes, content: bytes) -> None:
+        """Keeps a header."""
+        self._headers[name.decode('latin-1').lower()] = content.decode(
+            'latin-1',
         )
+
+    def on_headers_complete(self) -> None:
+        """Hands the headers over."""
+        self._exchange.take_head(self._headers)
+
+    def on_body(self, octets: bytes) -> None:
+        """Hands a piece of the body over."""
+        self._exchange.take_body(octets)
+
+    def on_message_complete(self) -> None:
+        """Hands the end over."""
+        self._exchange.take_end()
+
+
+def encode_request(endpoint: Endpoint, request: PlainRequest) -> bytes:
+    """Returns the octets of a request; the connection serves only it."""
+    headers = {
+        'Host': str(endpoint),
+        'Content-Length': str(len(request.body)),
+        'Connection': 'close',
+        **request.headers,
+    }
+    lines = [f'{request.method} {request.target} HTTP/1.1']
+    lines.extend(f'{name}: {content}' for name, content in headers.items())
+    head = '\r\n'.join([*lines, '', ''])
+    return head.encode('latin-1') + request.body
--- a/cumindrift/fleet/announcer.py
+++ b/cumindrift/fleet/announcer.py
@@ -9,7 +9,7 @@
 from cumindrift.fleet.follower import BACKOFF_MAX_S, BACKOFF_MIN_S
 
 
-@define(slots=True, eq=False)
+@define(slots=True, eq=False, repr=False)
 class Announcer:
     """Writes one object until the store holds what is wanted.
 
--- a/cumindrift/fleet/context.py
+++ b/cumindrift/fleet/context.py
@@ -17,7 +17,7 @@
 _MS_PER_S = 1000
 
 
-@define(slots=True, eq=False)
+@define(slots=True, eq=False, repr=False)
 class NodeContext:
     """What the supervisors of one node share; built once by the daemon."""
 
--- a/cumindrift/fleet/directory.py
+++ b/cumindrift/fleet/directory.py
@@ -15,7 +15,7 @@
     service: str
 
 
-@define(slots=True, eq=False)
+@define(slots=True, eq=False, repr=False)
 class Directory:
     """The beliefs that the store gives, each with its revision.
 
--- a/cumindrift/fleet/follower.py
+++ b/cumindrift/fleet/follower.py
@@ -21,7 +21,7 @@
 Objects = dict[str, StoreItem]
 
 
-@define(slots=True, eq=False)
+@define(slots=True, eq=False, repr=False)
 class KindFollower:
     """Knows when to ask what about one kind; used by the store's link.
 
--- a/cumindrift/fleet/link.py
+++ b/cumindrift/fleet/link.py
@@ -9,6 +9,7 @@
 from cumindrift.address import Endpoint
 from cumindrift.code import ResultCode
 from cumindrift.event import EventLog
+from cumindrift.exchange import PlainAnswer
 from cumindrift.fleet.call import (
     AnswerTag,
     CallVerb,
@@ -17,7 +18,6 @@
 )
 from cumindrift.metric import STORE_CALLS
 from cumindrift.platform.exchange import HttpExchange
-from cumindrift.platform.http import PlainAnswer
 from cumindrift.platform.objects import decode_answer, encode_call
 from cumindrift.supervision import Child
 from cumindrift.ticker import Ticker
@@ -40,7 +40,7 @@
         """Takes the answer to the last call."""
 
 
-@define(slots=True, eq=False)
+@define(slots=True, eq=False, repr=False)
 class RunningCall:
     """A call under way, with its exchange and the end of its time."""
 
@@ -50,7 +50,7 @@
     until_s: float
 
 
-@define(slots=True, eq=False)
+@define(slots=True, eq=False, repr=False)
 class StoreHealth:
     """Whether the store answers this process; told when that changes."""
 
@@ -139,11 +139,16 @@
     def _allowed_sources(self) -> tuple[CallSource, ...]:
         if not self._health.lost_since_s:
             return self._sources
-        for running in self._running.values():
-            if running.call.verb is not CallVerb.WATCH:
-                return (running.source,)
-        # The source that failed least often asks for all.
-        return (min(self._sources, key=lambda each: each.failure_count),)
+        busy = [running.source for running in self._running.values()]
+        if any(
+            running.call.verb is not CallVerb.WATCH
+            for running in self._running.values()
+        ):
+            return ()
+        # A watch may wait on a channel that the outage has silenced, so
+        # only a source without a call can find out that the store is back.
+        idle = [source for source in self._sources if source not in busy]
+        return tuple(sorted(idle, key=lambda each: each.failure_count)[:1])
 
     def _start(self, source: CallSource, call: StoreCall, now_s: float) -> None:
         self._serial += 1
--- a/cumindrift/fleet/manifest.py
+++ b/cumindrift/fleet/manifest.py
@@ -5,7 +5,7 @@
 from cumindrift.address import Endpoint
 
 
-@define(frozen=True, slots=True)
+@define(frozen=True, slots=True, eq=False, repr=False)
 class Share:
     """One service of a route and its weight among the others."""
 
@@ -13,7 +13,7 @@
     weight: float = 1.0
 
 
-@define(frozen=True, slots=True)
+@define(frozen=True, slots=True, eq=False, repr=False)
 class Manifest:
     """One version of what the operators want, by service address."""
 
--- a/cumindrift/fleet/settings.py
+++ b/cumindrift/fleet/settings.py
@@ -5,7 +5,7 @@
 from cumindrift.address import Endpoint
 
 
-@define(frozen=True, slots=True)
+@define(frozen=True, slots=True, eq=False, repr=False)
 class NodeBounds:
     """How long the users allow things to take, and how long flows live."""
 
@@ -16,7 +16,7 @@
     cold_rate_slack: float = 5.0
 
 
-@define(frozen=True, slots=True)
+@define(frozen=True, slots=True, eq=False, repr=False)
 class TargetPlace:
     """The target beside an agent, and where it reaches the agent."""
 
@@ -26,7 +26,7 @@
     heartbeats: Endpoint
 
 
-@define(frozen=True, slots=True)
+@define(frozen=True, slots=True, eq=False, repr=False)
 class NodeSettings:
     """One process on the users' platform.
 
--- a/cumindrift/metric.py
+++ b/cumindrift/metric.py
@@ -15,7 +15,7 @@
 )  # fmt: skip
 _TENANT_LABELS = ('team', 'service')
 
-@define(slots=True, eq=False)
+@define(slots=True, eq=False, repr=False)
 class Sample:
     """One series: a number that counts up or is set."""
 
@@ -30,7 +30,7 @@
         self.total = amount
 
 
-@define(slots=True, eq=False)
+@define(slots=True, eq=False, repr=False)
 class Distribution:
     """One series of a histogram: how many observations fell where."""
 
@@ -48,7 +48,7 @@
         self.total += amount
 
 
-@define(slots=True, eq=False)
+@define(slots=True, eq=False, repr=False)
 class Instrument:
     """A metric with its series by label values; see `metrics`."""
 
@@ -94,7 +94,7 @@
         self.series[()].set(amount)
 
 
-@define(slots=True, eq=False)
+@define(slots=True, eq=False, repr=False)
 class Histogram(Instrument):
     """Counts observations by size."""
 
--- a/cumindrift/node.py
+++ b/cumindrift/node.py
@@ -1,8 +1,8 @@
 """The daemon on the users' platform: one node, by its settings file."""
 
+import gc
 import os
 import sys
-from pathlib import Path
 from time import monotonic
 
 from attrs import define, field
@@ -28,20 +28,21 @@
 QUICKSTART = _quickstart
 
 
-@define(slots=True, eq=False)
+@define(slots=True, eq=False, repr=False)
 class SettingsFile:
     """The settings file, read again when it may have changed."""
 
-    path: Path
+    path: str
     text: str = ''
     context: NodeContext | None = field(default=None)
 
     def read(self) -> Done | Refused:
         """Reads settings; refusals have code 600 for an unreadable file."""
         try:
-            self.text = self.path.read_text('utf-8')
+            with open(self.path, encoding='utf-8') as file:  # noqa: PTH123
+                self.text = file.read()
         except (OSError, UnicodeDecodeError) as error:
-            return Refused(ResultCode.SETTINGS_FILE, str(self.path), str(error))
+            return Refused(ResultCode.SETTINGS_FILE, self.path, str(error))
         return read_node_file(self.text)
 
     def reload(self) -> None:
@@ -91,6 +92,8 @@
         context.events.flush()
         return EXIT_PORT
     EPoll().register(root)
+    gc.freeze()
+    gc.enable()
     context.events.note_urgently(
         'node-started',
         role=settings.role,
@@ -108,7 +111,7 @@
 def main() -> int:
     """Runs the node that the settings file describes."""
     os.set_blocking(1, False)
-    file = SettingsFile(Path(os.environ.get(PATH_VARIABLE, '')))
+    file = SettingsFile(os.environ.get(PATH_VARIABLE, ''))
     outcome = file.read()
     if isinstance(outcome, Refused):
         sys.stderr.write(f'{outcome.line()}\n')
--- a/cumindrift/outcome.py
+++ b/cumindrift/outcome.py
@@ -6,7 +6,7 @@
 from cumindrift.code import ResultCode
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class Done:
     """The call did what was asked; `content` is what it gave."""
 
@@ -14,7 +14,7 @@
     code: ResultCode = ResultCode.DONE
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class NotRun:
     """Nothing happened, and nothing will: the call may be tried again."""
 
@@ -22,7 +22,7 @@
     detail: str = ''
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class Unknown:
     """The call may or may not have taken effect."""
 
@@ -30,7 +30,7 @@
     detail: str = ''
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class Refused:
     """Settings were refused; `path` names the place in the document."""
 
@@ -43,7 +43,7 @@
         return f'{self.code:d} {self.code.name} at {self.path}: {self.detail}'
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class Dropped:
     """A packet or message was dropped and counted."""
 
--- a/cumindrift/platform/exchange.py
+++ b/cumindrift/platform/exchange.py
@@ -2,19 +2,24 @@
 
 from collections.abc import Callable
 
-import h11
-
 from cumindrift.address import Endpoint
-from cumindrift.exchange import ClientExchange, PlainRequest
-from cumindrift.platform.http import PlainAnswer
-from cumindrift.platform.store import VALUE_BYTES_MAX
+from cumindrift.exchange import (
+    ClientExchange,
+    Headers,
+    PlainAnswer,
+    PlainRequest,
+)
+
+VALUE_BYTES_MAX = 1024 * 1024
+# An answer is a page of about 1 MB at most, and what JSON adds.
+ANSWER_BYTES_MAX = 4 * VALUE_BYTES_MAX
 
 # Takes the answer, or None with whether the request may have been read.
 OnEnd = Callable[[PlainAnswer | None, bool], None]
 
 
 class HttpExchange(ClientExchange):
-    """Collects one answer of at most VALUE_BYTES_MAX; used by the link."""
+    """Collects one answer of at most ANSWER_BYTES_MAX; used by the link."""
 
     def __init__(
         self,
@@ -26,28 +31,26 @@
         """Connects when it is started."""
         super().__init__(name, endpoint, request)
         self._on_answer = on_end
-        self._head: h11.Response | None = None
+        self._status = 0
+        self._headers: Headers = {}
         self._body = bytearray()
 
-    def on_head(self, response: h11.Response) -> None:
+    def on_head(self, status: int, headers: Headers) -> None:
         """Keeps status and headers."""
-        self._head = response
+        self._status = status
+        self._headers = headers
 
     def on_data(self, octets: bytes) -> None:
         """Collects the body."""
         self._body += octets
-        if len(self._body) > VALUE_BYTES_MAX:
+        if len(self._body) > ANSWER_BYTES_MAX:
             self.fail()
 
     def on_end(self) -> None:
         """Hands the answer over."""
-        headers = {
-            name.decode('ascii'): content.decode('latin-1')
-            for name, content in self._head.headers
-        }
         answer = PlainAnswer(
-            self._head.status_code,
-            headers,
+            self._status,
+            self._headers,
             bytes(self._body),
         )
         self._on_answer(answer, True)
--- a/cumindrift/platform/http.py
+++ b/cumindrift/platform/http.py
@@ -3,9 +3,7 @@
 from collections.abc import Callable
 from urllib.parse import quote
 
-from attrs import define
-
-from cumindrift.exchange import PlainRequest
+from cumindrift.exchange import PlainAnswer, PlainRequest
 from cumindrift.platform.call import AnswerKind, Call, CallAnswer, CallKind
 from cumindrift.platform.store import ABSENT_VERSION, StoredObject
 from cumindrift.registry import Registry
@@ -19,18 +17,6 @@
 STATUS_NOT_FOUND = 404
 STATUS_CONFLICT = 412
 
-Headers = dict[str, str]
-
-
-@define(frozen=True, slots=True)
-class PlainAnswer:
-    """A whole answer; header names are in lower case."""
-
-    status: int
-    headers: Headers
-    body: bytes = b''
-
-
 encoders: Registry[Callable[[Call], PlainRequest]] = Registry('call encoder')
 
 
--- a/cumindrift/platform/node_file.py
+++ b/cumindrift/platform/node_file.py
@@ -14,7 +14,7 @@
 _MS_PER_S = 1000
 
 
-@define(frozen=True, slots=True)
+@define(frozen=True, slots=True, eq=False, repr=False)
 class NodeStart:
     """The settings, and whether the whole system starts for the first time."""
 
--- a/cumindrift/platform/store.py
+++ b/cumindrift/platform/store.py
@@ -6,8 +6,8 @@
 from attrs import define
 
 from cumindrift.outcome import NotRun, Outcome, Refused
+from cumindrift.platform.exchange import VALUE_BYTES_MAX
 
-VALUE_BYTES_MAX = 1024 * 1024
 # The version of an object that is not there yet.
 ABSENT_VERSION = 0
 
--- a/cumindrift/quickstart.py
+++ b/cumindrift/quickstart.py
@@ -1,22 +1,47 @@
-"""Imported first by a node: keeps what circuits loads at start small."""
+"""Imported first by a node: keeps what circuits loads at start small.
 
+A node is restarted in the middle of traffic, and until it serves, clients
+wait. circuits loads pools of processes and threads, a bridge between
+processes and a debugger with its core; a node uses none of them, and they
+take longer to load than the rest of circuits.
+"""
+
+import gc
+import os
 import sys
-from types import ModuleType
+from types import ModuleType, SimpleNamespace
+from typing import Any
+
+# Everything that is loaded stays, so looking for garbage meanwhile is lost.
+gc.disable()
+
+
+def stand_in(name: str, **members: Any) -> None:
+    """Puts a small module in place of one that nothing here uses."""
+    module = ModuleType(name)
+    vars(module).update(members)
+    sys.modules.setdefault(name, module)
 
 
 def declare_namespace(_name: str) -> None:
     """Does nothing: the package circuits is no name space here."""
 
 
-def stand_in_for_setuptools() -> None:
-    """Gives circuits the only function that it wants of pkg_resources.
+def lone_process() -> SimpleNamespace:
+    """Describes the process of a node, which starts no others."""
+    return SimpleNamespace(pid=os.getpid(), name='MainProcess')
+
 
-    The real package takes longer to load than everything that a node does
-    until it serves its first packet.
-    """
-    stand_in = ModuleType('pkg_resources')
-    stand_in.declare_namespace = declare_namespace  # type: ignore[attr-defined]
-    sys.modules.setdefault('pkg_resources', stand_in)
+stand_in('pkg_resources', declare_namespace=declare_namespace)
+stand_in('circuits.core.workers', Worker=None, task=None)
+stand_in('circuits.core.bridge', Bridge=None, ipc=None)
+stand_in('circuits.core.debugger', Debugger=None)
+stand_in('circuits.core.loader', Loader=None)
+# attrs makes a dozen classes for validators, which no node has.
+stand_in('attr.validators')
+stand_in('multiprocessing', Process=None, current_process=lone_process)
 
+import circuits  # noqa: E402, F401
 
-stand_in_for_setuptools()
+# Whoever wants the real one later gets it.
+sys.modules.pop('multiprocessing')
--- a/cumindrift/steering/agent.py
+++ b/cumindrift/steering/agent.py
@@ -59,7 +59,7 @@
         """Finds out whether the target's process still listens."""
 
 
-@define(slots=True, eq=False)
+@define(slots=True, eq=False, repr=False)
 class Probe:
     """A packet given to the target to learn whether it holds the flow."""
 
@@ -68,7 +68,7 @@
     sent_s: float
 
 
-@define(slots=True, eq=False)
+@define(slots=True, eq=False, repr=False)
 class AgentCore:
     """Decides for each packet of a client and of the target.
 
--- a/cumindrift/steering/director.py
+++ b/cumindrift/steering/director.py
@@ -55,7 +55,7 @@
         """Asks the store for the manifest as it is now."""
 
 
-@define(slots=True, eq=False)
+@define(slots=True, eq=False, repr=False)
 class Director:
     """Sends each packet of a client to an agent.
 
--- a/cumindrift/steering/flow.py
+++ b/cumindrift/steering/flow.py
@@ -11,7 +11,7 @@
 _MS_PER_S = 1000
 
 
-@define(slots=True, eq=False)
+@define(slots=True, eq=False, repr=False)
 class Flow:
     """A flow that the target holds or is about to hold.
 
@@ -30,7 +30,7 @@
     has_client_closed: bool = False
 
 
-@define(slots=True, eq=False)
+@define(slots=True, eq=False, repr=False)
 class FlowTable:
     """All flows of a target; idle and old ones are forgotten."""
 
--- a/cumindrift/steering/frame.py
+++ b/cumindrift/steering/frame.py
@@ -35,7 +35,7 @@
     PONG = 16
 
 
-@define(slots=True, eq=False)
+@define(slots=True, eq=False, repr=False)
 class Carried:
     """A client's packet on its way to a target.
 
@@ -56,7 +56,7 @@
     candidate_ips: tuple[str, ...] = ()
 
 
-@define(frozen=True, slots=True)
+@define(frozen=True, slots=True, eq=False, repr=False)
 class Load:
     """What an agent reports of its target with each news."""
 
@@ -66,7 +66,7 @@
     slots: int = 1
 
 
-@define(slots=True, eq=False)
+@define(slots=True, eq=False, repr=False)
 class News:
     """What an agent tells a balancer about one flow."""
 
--- a/cumindrift/steering/hint.py
+++ b/cumindrift/steering/hint.py
@@ -7,7 +7,7 @@
 HINTS_MAX = 65_536
 
 
-@define(slots=True, eq=False)
+@define(slots=True, eq=False, repr=False)
 class Hint:
     """A guess that costs time when it is wrong, and never a flow.
 
@@ -26,7 +26,7 @@
     tried: set[str] = field(factory=set)
 
 
-@define(slots=True, eq=False)
+@define(slots=True, eq=False, repr=False)
 class HintTable:
     """The hints of a balancer, bounded; the oldest goes first."""
 
--- a/cumindrift/steering/load.py
+++ b/cumindrift/steering/load.py
@@ -18,7 +18,7 @@
 OTHER_DATA_CENTRE_FACTOR = 1.15
 
 
-@define(slots=True, eq=False)
+@define(slots=True, eq=False, repr=False)
 class AgentLoad:
     """What is known of one agent's target, and what was sent there since."""
 
--- a/cumindrift/steering/packet.py
+++ b/cumindrift/steering/packet.py
@@ -7,7 +7,7 @@
 SEQUENCE_SPACE = 1 << 32
 
 
-@define(slots=True, eq=False)
+@define(slots=True, eq=False, repr=False)
 class FlowPacket:
     """One packet, read far enough to steer it.
 
--- a/cumindrift/steering/search.py
+++ b/cumindrift/steering/search.py
@@ -10,7 +10,7 @@
 SEARCHES_MAX = 16_384
 
 
-@define(slots=True, eq=False)
+@define(slots=True, eq=False, repr=False)
 class Search:
     """One search: who was asked, who does not hold the flow.
 
--- a/cumindrift/steering/target.py
+++ b/cumindrift/steering/target.py
@@ -54,7 +54,7 @@
     NEW_INCARNATION = 'new incarnation'
 
 
-@define(slots=True, eq=False)
+@define(slots=True, eq=False, repr=False)
 class TargetState:
     """Follows one target through its incarnations; used by the agent."""
 
--- a/cumindrift/traffic/target.py
+++ b/cumindrift/traffic/target.py
@@ -3,14 +3,12 @@
 from collections.abc import Callable
 from typing import Protocol
 
-import h11
-
 from cumindrift.address import Endpoint
 from cumindrift.caller.message import Request
-from cumindrift.exchange import ClientExchange, PlainRequest
+from cumindrift.exchange import ClientExchange, Headers, PlainRequest
 from cumindrift.supervision import Child
 
-_LENGTH_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
+_LENGTH_HEADERS = frozenset(('content-length', 'transfer-encoding'))
 
 
 class AnswerSink(Protocol):
@@ -55,11 +53,10 @@
         self._sink = sink
         self._on_over = on_over
 
-    def on_head(self, response: h11.Response) -> None:
+    def on_head(self, status: int, headers: Headers) -> None:
         """Passes the status on."""
-        names = {name for name, _ in response.headers}
-        if names & _LENGTH_HEADERS:
-            self._sink.on_head(self._request_id, response.status_code)
+        if _LENGTH_HEADERS & headers.keys():
+            self._sink.on_head(self._request_id, status)
         else:
             # Ended by closing only: whole and cut answers look alike.
             self.fail()
--- a/features/steps/metrics_steps.py
+++ b/features/steps/metrics_steps.py
@@ -10,7 +10,7 @@
 # callers, so that nobody can make a process keep endless series.
 BOUNDED_LABELS = {
     'team', 'service', 'code', 'direction', 'invariant', 'kind', 'state',
-    'outcome', 'reason', 'stage', 'supervisor',
+    'outcome', 'reason', 'stage', 'supervisor', 'decision', 'verb', 'result',
 }  # fmt: skip
 
 
