--- a/cumindrift/fleet/link.py
+++ b/cumindrift/fleet/link.py
@@ -101,16 +101,16 @@
         self._sources = tuple(sources)
         self._health = health
         self._clock = clock
-        self._running: dict[int, RunningCall] = {}
+        self.calls: dict[int, RunningCall] = {}
         self._serial = 0
         Ticker('store', TICK_PERIOD_S, self.run_due).register(self)
 
     def release(self) -> None:
         """Ends all calls; their sources ask again later."""
-        for running in list(self._running.values()):
+        for running in list(self.calls.values()):
             running.exchange.break_off()
             self._end(running, StoreAnswer(AnswerTag.LOST))
-        self._running.clear()
+        self.calls.clear()
 
     @handler('started', channel='*')
     def _on_started(self, *_details: object) -> None:
@@ -118,31 +118,32 @@
 
     def drop(self, source: CallSource) -> None:
         """Breaks off the call of one source, and tells the source nothing."""
-        for number, running in list(self._running.items()):
+        for number, running in list(self.calls.items()):
             if running.source is source:
-                self._running.pop(number)
+                self.calls.pop(number)
                 running.exchange.break_off()
 
     def run_due(self) -> None:
         """Ends the calls that are out of time and starts those due."""
         now_s = self._clock()
-        for number, running in list(self._running.items()):
+        for number, running in list(self.calls.items()):
             if now_s >= running.until_s:
-                self._running.pop(number)
+                self.calls.pop(number)
                 running.exchange.break_off()
                 self._end(running, StoreAnswer(AnswerTag.LOST))
-        for source in self._allowed_sources():
+        for source in self.allowed_sources():
             call = source.next_call(now_s)
             if call is not None:
                 self._start(source, call, now_s)
 
-    def _allowed_sources(self) -> tuple[CallSource, ...]:
+    def allowed_sources(self) -> tuple[CallSource, ...]:
+        """Returns the sources that may start a call now."""
         if not self._health.lost_since_s:
             return self._sources
-        busy = [running.source for running in self._running.values()]
+        busy = [running.source for running in self.calls.values()]
         if any(
             running.call.verb is not CallVerb.WATCH
-            for running in self._running.values()
+            for running in self.calls.values()
         ):
             return ()
         # A watch may wait on a channel that the outage has silenced, so
@@ -155,7 +156,7 @@
         number = self._serial
 
         def on_end(answer: PlainAnswer | None, _was_sent: bool) -> None:
-            running = self._running.pop(number, None)
+            running = self.calls.pop(number, None)
             if running is None:
                 return
             decoded = StoreAnswer(AnswerTag.LOST)
@@ -171,7 +172,7 @@
             on_end,
         )
         until_s = now_s + CALL_TIMEOUT_S + call.wait_s
-        self._running[number] = RunningCall(source, call, exchange, until_s)
+        self.calls[number] = RunningCall(source, call, exchange, until_s)
         exchange.register(self)
         exchange.start()
 
--- a/cumindrift/steering/agent.py
+++ b/cumindrift/steering/agent.py
@@ -32,6 +32,10 @@
 
 # A target answers a SYN within a millisecond; this much is silence.
 OPEN_ANSWER_S = 0.1
+# Data that no packet of the target followed for this long is a reason to
+# find out whether it still runs, and how often.
+DATA_SILENCE_S = 0.3
+CHECK_PERIOD_S = 0.5
 # A target returns a packet that it does not hold at once.
 RETURN_WITHIN_S = 0.05
 EXPIRE_PERIOD_S = 5.0
@@ -88,6 +92,9 @@
     probes: dict[bytes, Probe] = field(factory=dict)
     _opening: dict[bytes, float] = field(factory=dict)
     _expire_s: float = 0.0
+    # Since when the target has left data without any packet; 0 for never.
+    _unheard_s: float = 0.0
+    _check_s: float = 0.0
     _manifest_version: int = 0
 
     def on_carried(self, carried: Carried, now_s: float) -> None:
@@ -111,6 +118,7 @@
     def on_target_packet(self, packet: FlowPacket, now_s: float) -> None:
         """Takes what the target sent: an answer, or a bounced packet."""
         self.target.is_silent = False
+        self._unheard_s = 0.0
         if packet.is_bounced:
             self._take_bounced(packet, now_s)
             return
@@ -154,6 +162,7 @@
         died with it, so their clients are told at once.
         """
         self.target.is_gone = True
+        self._unheard_s = 0.0
         ended = [
             key
             for key, flow in self.table.flows.items()
@@ -175,10 +184,18 @@
         """Lets time pass; True while something waits for an answer."""
         self._settle_probes(now_s)
         self._pass_unanswered(now_s)
+        is_unheard = bool(self._unheard_s)
+        if is_unheard and now_s - self._unheard_s >= DATA_SILENCE_S:
+            self._check_target(now_s)
         if now_s >= self._expire_s:
             self._expire_s = now_s + EXPIRE_PERIOD_S
             self.table.expire(now_s)
-        return bool(self.probes or self._opening)
+        return bool(self.probes or self._opening or is_unheard)
+
+    def _check_target(self, now_s: float) -> None:
+        if now_s >= self._check_s and not self.target.is_gone:
+            self._check_s = now_s + CHECK_PERIOD_S
+            self.outlet.check_target()
 
     def _take_open(
         self,
@@ -269,6 +286,8 @@
                 flow.origin_ip = carried.origin_ip
                 self._tell(carried.origin_ip, FrameKind.HELD, key)
             self.table.note_client(flow, packet, now_s)
+            if packet.payload_bytes and not self._unheard_s:
+                self._unheard_s = now_s
             self.outlet.deliver(packet.octets)
 
     def _take_unknown(
@@ -292,7 +311,7 @@
             self.outlet.reset(packet)
             self._tell(carried.origin_ip, FrameKind.ENDED, packet.flow_key)
         elif target.is_sure or target.is_gone:
-            self._return(carried, packet)
+            self._return(carried, packet, is_certain=target.is_gone)
         elif packet.flow_key in self.probes:
             self.outlet.deliver(packet.octets)
         else:
@@ -443,7 +462,7 @@
             flow = self.table.remove(key)
             if not self.target.is_silent:
                 self.target.is_silent = True
-                self.outlet.check_target()
+                self._check_target(now_s)
             if flow is not None and flow.opening is not None:
                 self._pass_on(
                     flow.opening,
--- a/cumindrift/steering/port.py
+++ b/cumindrift/steering/port.py
@@ -1,6 +1,6 @@
 """Ports of a node: cores on one side, sockets and encodings on the other."""
 
-from errno import EINPROGRESS
+from errno import ECONNREFUSED, EINPROGRESS
 from socket import AF_INET, SO_ERROR, SOCK_STREAM, SOL_SOCKET, socket
 from time import time
 from typing import Any
@@ -162,7 +162,7 @@
             return
         error = self._sock.connect_ex(self._endpoint.pair())
         if error not in {0, EINPROGRESS}:
-            self._conclude(is_refused=True)
+            self._conclude(is_refused=error == ECONNREFUSED)
             return
         find_poller(self).addWriter(self, self._sock)
         Timer(CHECK_TIMEOUT_S, check_over(), self.channel).register(self)
@@ -171,7 +171,7 @@
     def _on_connected(self, *_details: Any) -> None:
         if not self._is_over:
             error = self._sock.getsockopt(SOL_SOCKET, SO_ERROR)
-            self._conclude(is_refused=bool(error))
+            self._conclude(is_refused=error == ECONNREFUSED)
 
     @handler('check_over')
     def _on_over(self) -> None:
--- a/cumindrift/steering/target.py
+++ b/cumindrift/steering/target.py
@@ -65,6 +65,9 @@
     is_first_start: bool = False
     beat: Heartbeat | None = None
     beat_s: float = 0.0
+    # Its last word; it ends soon, and may still serve its flows.
+    has_left: bool = False
+    # Nothing listens at its address: its process has ended.
     is_gone: bool = False
     is_silent: bool = False
     is_sure: bool = False
@@ -95,6 +98,7 @@
             self.is_sure = known is not None or self._began_here(beat)
         self.beat = beat
         self.beat_s = now_s
+        self.has_left = False
         self.is_gone = False
         self.is_silent = False
         self._cold_until_s = now_s + beat.cold_s
@@ -106,7 +110,7 @@
         """Takes the last word of a target; False when it is not this one."""
         if self.beat is None or self.beat.target_id != target_id:
             return False
-        self.is_gone = True
+        self.has_left = True
         return True
 
     def refusal(
@@ -121,7 +125,7 @@
             return Refusal.UNKNOWN
         if service is not None and beat.service != service:
             return Refusal.OTHER_SERVICE
-        if self.is_gone:
+        if self.has_left or self.is_gone:
             return Refusal.GONE
         if beat.is_draining:
             return Refusal.DRAINING
@@ -161,7 +165,8 @@
             return False
         # The time of day may have jumped back between two starts: an earlier
         # start counts once the later one has fallen silent.
-        return not self.is_gone and not self._has_missed_beats(now_s)
+        has_ended = self.has_left or self.is_gone
+        return not has_ended and not self._has_missed_beats(now_s)
 
     def _began_here(self, beat: Heartbeat) -> bool:
         began_ms = self.started_ms + CLOCK_SLACK_MS
--- /dev/null
+++ b/features/builders/node.py
@@ -0,0 +1,388 @@
+"""Builders of nodes on the users' platform: packets, cores, outlets."""
+
+import json
+from random import Random
+from struct import pack
+from typing import Any
+
+from attrs import define, evolve, field
+
+from cumindrift.address import Endpoint
+from cumindrift.event import EventLog
+from cumindrift.fleet.directory import AgentEntry, Directory
+from cumindrift.fleet.manifest import Manifest, Share
+from cumindrift.fleet.settings import NodeBounds
+from cumindrift.platform.packet import (
+    describe,
+    read_from_client,
+    read_from_target,
+    service_endpoint,
+)
+from cumindrift.steering.agent import AgentCore
+from cumindrift.steering.director import Director
+from cumindrift.steering.flow import FlowTable
+from cumindrift.steering.frame import (
+    Carried,
+    FrameKind,
+    Load,
+    News,
+    service_digest,
+)
+from cumindrift.steering.target import Heartbeat, TargetState
+
+SYN, ACK, FIN, RST, BOUNCED = 1, 128, 8, 4, 2
+SERVICE = 'kaynti'
+SERVICE_ADDRESS = Endpoint('198.18.0.1', 443)
+BALANCER_IP = '10.1.0.10'
+AGENT_IP = '10.1.0.13'
+TARGET_SEQUENCE = 7000
+
+
+def client_packet(
+    flags: int,
+    *,
+    port: int = 40001,
+    sequence: int = 100,
+    acknowledged: int = 0,
+    payload: bytes = b'',
+    service_port: int = SERVICE_ADDRESS.port,
+) -> bytes:
+    """Returns a packet of the client at that port."""
+    return pack(
+        '>IIHBBH4sH4sII',
+        0,
+        0xA1B2C3D5,
+        len(payload),
+        flags,
+        0,
+        port,
+        bytes((198, 18, 0, 1)),
+        service_port,
+        bytes((100, 64, 0, 7)),
+        sequence,
+        acknowledged,
+    ) + payload
+
+
+def target_packet(
+    flags: int,
+    *,
+    port: int = 40001,
+    sequence: int = TARGET_SEQUENCE,
+    payload: bytes = b'',
+) -> bytes:
+    """Returns a packet of the target to that client."""
+    return pack(
+        '>IIHBBH4sH4sII',
+        0,
+        0x55,
+        len(payload),
+        flags,
+        0,
+        SERVICE_ADDRESS.port,
+        bytes((100, 64, 0, 7)),
+        port,
+        bytes((198, 18, 0, 1)),
+        sequence,
+        101,
+    ) + payload
+
+
+def bounced(octets: bytes) -> bytes:
+    """Returns a packet as a target returns it."""
+    flags = bytes((octets[10] | BOUNCED,))
+    return b'\1\2\3\4' + octets[4:10] + flags + octets[11:]
+
+
+def flow_key(port: int = 40001) -> bytes:
+    """Returns the key of that client's flow."""
+    return client_packet(SYN, port=port)[12:24]
+
+
+def heartbeat(**changes: Any) -> Heartbeat:
+    """Returns a heartbeat of a warm target that serves."""
+    plain = Heartbeat(
+        target_id='i-1',
+        service=SERVICE,
+        packets=Endpoint('10.1.0.13', 8165),
+        is_draining=False,
+        slots=7,
+        cold_s=0.0,
+        sequence=5,
+        incarnation=1_000_000,
+    )
+    return evolve(plain, **changes)
+
+
+def carried(octets: bytes, kind: FrameKind, **changes: Any) -> Carried:
+    """Returns a client's packet on its way from the balancer."""
+    plain = Carried(
+        kind,
+        BALANCER_IP,
+        octets,
+        manifest_version=3,
+        service_digest=service_digest(SERVICE),
+    )
+    return evolve(plain, **changes)
+
+
+def opening(port: int = 40001, **changes: Any) -> Carried:
+    """Returns a SYN on its way, with two more candidates."""
+    changes.setdefault('candidate_ips', ('10.1.0.14', '10.1.0.15'))
+    return carried(client_packet(SYN, port=port), FrameKind.OPEN, **changes)
+
+
+@define(slots=True, eq=False)
+class RecordingOutlet:
+    """Keeps what a core had done."""
+
+    delivered: list[bytes] = field(factory=list)
+    answered: list[bytes] = field(factory=list)
+    resets: list[bytes] = field(factory=list)
+    sent: list[tuple[str, Carried]] = field(factory=list)
+    told: list[tuple[str, News]] = field(factory=list)
+    checks: int = 0
+    agent_lists: int = 0
+    manifests: int = 0
+
+    def deliver(self, octets: bytes) -> None:
+        """Keeps a packet for the target."""
+        self.delivered.append(octets)
+
+    def answer(self, _flow_key: bytes, octets: bytes) -> None:
+        """Keeps a packet for the client."""
+        self.answered.append(octets)
+
+    def reset(self, packet: Any) -> None:
+        """Keeps the key of a flow that was reset."""
+        self.resets.append(packet.flow_key)
+
+    def carry(self, ip: str, message: Carried) -> None:
+        """Keeps a packet for an agent."""
+        self.sent.append((ip, message))
+
+    def tell(self, ip: str, news: News) -> None:
+        """Keeps news for a balancer."""
+        self.told.append((ip, news))
+
+    def check_target(self) -> None:
+        """Counts."""
+        self.checks += 1
+
+    def verify_agents(self) -> None:
+        """Counts."""
+        self.agent_lists += 1
+
+    def verify_manifest(self) -> None:
+        """Counts."""
+        self.manifests += 1
+
+    def clear(self) -> None:
+        """Forgets everything so far."""
+        for kept in (self.delivered, self.answered, self.resets):
+            kept.clear()
+        self.sent.clear()
+        self.told.clear()
+
+    def news_kinds(self) -> list[str]:
+        """Returns the names of all news, in order."""
+        return [news.kind.name for _, news in self.told]
+
+
+@define(slots=True, eq=False)
+class AgentBench:
+    """An agent's core with a clock of its own."""
+
+    is_first_start: bool = True
+    started_ms: int = 0
+    now_s: float = 100.0
+    outlet: RecordingOutlet = field(factory=RecordingOutlet)
+    events: EventLog = field(init=False)
+    core: AgentCore = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Builds the core."""
+        self.events = EventLog('side-1', lambda: self.now_s)
+        target = TargetState(
+            NodeBounds(),
+            1.2,
+            self.started_ms,
+            self.is_first_start,
+        )
+        self.core = AgentCore(
+            AGENT_IP,
+            SERVICE,
+            target,
+            FlowTable(60.0, 60.0),
+            read_from_client,
+            describe,
+            self.events,
+            self.outlet,
+        )
+
+    def beat(self, **changes: Any) -> Any:
+        """Lets the target send a heartbeat."""
+        return self.core.on_beat(heartbeat(**changes), self.now_s)
+
+    def receive(self, message: Carried) -> None:
+        """Lets a frame arrive."""
+        self.core.on_carried(message, self.now_s)
+
+    def from_target(self, octets: bytes) -> None:
+        """Lets the target send a packet."""
+        self.core.on_target_packet(read_from_target(octets), self.now_s)
+
+    def open_flow(self, port: int = 40001) -> None:
+        """Opens a flow with the whole handshake."""
+        self.receive(opening(port))
+        self.from_target(target_packet(SYN | ACK, port=port))
+        self.send_data(FrameKind.KNOWN, port=port)
+        self.outlet.clear()
+
+    def send_data(
+        self,
+        kind: FrameKind,
+        acknowledged: int = TARGET_SEQUENCE + 1,
+        port: int = 40001,
+        **changes: Any,
+    ) -> None:
+        """Lets data of the client arrive."""
+        octets = client_packet(
+            ACK,
+            port=port,
+            acknowledged=acknowledged,
+            payload=b'GET',
+        )
+        self.receive(carried(octets, kind, **changes))
+
+    def pass_time(self, seconds: float) -> None:
+        """Lets time pass in ticks."""
+        end_s = self.now_s + seconds
+        while self.now_s < end_s:
+            self.now_s += 0.02
+            self.core.tick(self.now_s)
+
+
+@define(slots=True, eq=False)
+class BalancerBench:
+    """A balancer's core that knows agents, with a clock of its own."""
+
+    agent_count: int = 3
+    now_s: float = 100.0
+    outlet: RecordingOutlet = field(factory=RecordingOutlet)
+    directory: Directory = field(factory=Directory)
+    core: Director = field(init=False)
+    events: EventLog = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Builds the core and a complete directory."""
+        self.events = EventLog('front-1', lambda: self.now_s)
+        self.core = Director(
+            BALANCER_IP,
+            'hel-a',
+            self.directory,
+            read_from_client,
+            describe,
+            service_endpoint,
+            self.events,
+            Random(1),
+            outlet=self.outlet,
+        )
+        self.put_agents(self.agent_count)
+        self.put_manifest(3, SERVICE)
+        self.directory.take_evacuations(frozenset())
+
+    def put_agents(self, count: int) -> None:
+        """Puts so many agents into the directory, one a data centre."""
+        self.directory.take_agents(
+            {
+                f'side-{number}': AgentEntry(
+                    f'side-{number}',
+                    agent_ip(number),
+                    f'zone-{number}',
+                    SERVICE,
+                )
+                for number in range(1, count + 1)
+            }
+        )
+
+    def put_manifest(self, version: int, service: str) -> None:
+        """Puts a manifest that sends the address to `service`."""
+        manifest = Manifest(version, {SERVICE_ADDRESS: (Share(service),)})
+        self.directory.take_manifest(manifest, version)
+
+    def packet(self, flags: int, **changes: Any) -> None:
+        """Lets a packet of the client arrive."""
+        self.core.on_packet(client_packet(flags, **changes), self.now_s)
+
+    def news(
+        self,
+        number: int,
+        kind: FrameKind,
+        octets: bytes = b'',
+        **changes: Any,
+    ) -> None:
+        """Lets agent `number` tell something of the flow."""
+        changes.setdefault('load', Load(1, 0, 40, 7))
+        news = News(kind, flow_key(), packet=octets, **changes)
+        self.core.on_news(agent_ip(number), news, self.now_s)
+
+    def open_flow(self, number: int) -> None:
+        """Opens a flow that agent `number` holds."""
+        self.packet(SYN)
+        self.news(number, FrameKind.HELD)
+        self.outlet.clear()
+
+    def pass_time(self, seconds: float) -> None:
+        """Lets time pass in ticks."""
+        end_s = self.now_s + seconds
+        while self.now_s < end_s:
+            self.now_s += 0.02
+            self.core.tick(self.now_s)
+
+    def kinds_sent(self) -> list[str]:
+        """Returns the kinds of all frames to agents, in order."""
+        return [message.kind.name for _, message in self.outlet.sent]
+
+
+def agent_ip(number: int) -> str:
+    """Returns the address of agent `number`."""
+    return f'10.1.1.{number}'
+
+
+def node_file(**changes: Any) -> str:
+    """Returns the settings file of an agent's machine, as TOML."""
+    fields = {
+        'node_name': 'side-hel-a-1',
+        'role': 'agent',
+        'machine_class': 'side',
+        'ip': '10.1.0.13',
+        'zone': 'hel-a',
+        'internal_port_range': [7720, 7735],
+        'seed_addrs': ['10.1.0.10:8166'],
+        'bootstrap': True,
+        'heartbeat_ms': 1200,
+        'app': '10.1.0.13:8165',
+        'service': SERVICE,
+        **changes,
+    }
+    lines = [
+        f'{name} = {json.dumps(content)}'
+        for name, content in fields.items()
+        if content is not None
+    ]
+    lines.extend(
+        (
+            '[listen_addrs]',
+            'datagram_addr = "10.1.0.13:8172"',
+            'outbound = "10.1.0.13:8162"',
+            'ready_addr = "10.1.0.13:8167"',
+            'control = "10.1.0.13:8166"',
+            '[bounds]',
+            'grace_s = 6',
+            'not_known_yet = 1',
+            '[platform]',
+            'address = "10.200.1.7:8169"',
+        )
+    )
+    return '\n'.join(lines)
--- /dev/null
+++ b/features/builders/node_store.py
@@ -0,0 +1,88 @@
+"""Builders of what a node knows of the platform's store."""
+
+from random import Random
+from typing import Any
+
+from attrs import define, field
+
+from cumindrift.fleet.announcer import Announcer
+from cumindrift.fleet.call import AnswerTag, StoreAnswer, StoreCall, StoreItem
+from cumindrift.fleet.context import NodeContext
+from cumindrift.fleet.follower import KindFollower
+from cumindrift.platform.node_file import read_node_file
+from features.builders.node import node_file
+
+GATHER_S = 0.5
+ENTRY = {'ip': '10.1.0.13', 'data_centre': 'hel-a', 'service': 'kaynti'}
+MANIFEST = {
+    'version': 4,
+    'routes': [
+        {
+            'hostname': '198.18.0.1',
+            'path_prefix': '/443/',
+            'service': 'kaynti',
+        },
+    ],
+    'services': [{'name': 'kaynti', 'warmup_per_s': 0.0}],
+    'limits': {'idle_timeout_ms': 15000},
+}
+
+
+def items_of(names: str, **changes: Any) -> tuple[StoreItem, ...]:
+    """Returns objects with the names in a list such as ``a, b``."""
+    return tuple(
+        StoreItem(name, 1, ENTRY, **changes) for name in names.split(', ')
+    )
+
+
+@define(slots=True, eq=False)
+class FollowerBench:
+    """A follower with a clock of its own; its answers are given by hand."""
+
+    now_s: float = 50.0
+    seen: dict[str, StoreItem] = field(factory=dict)
+    follower: KindFollower = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Builds the follower."""
+        self.follower = KindFollower('agents', self._keep, Random(1), GATHER_S)
+
+    def ask(self) -> StoreCall | None:
+        """Returns the call that is due now."""
+        return self.follower.next_call(self.now_s)
+
+    def answer(self, tag: AnswerTag, *items: StoreItem, **changes: Any) -> None:
+        """Gives an answer to the last call."""
+        answer = StoreAnswer(tag, items, **changes)
+        self.follower.on_answer(answer, self.now_s)
+
+    def list_all(self, names: str, as_of: int) -> None:
+        """Lets the follower list objects."""
+        self.ask()
+        self.answer(AnswerTag.DONE, *items_of(names), as_of=as_of)
+
+    def ask_within(self, seconds: float) -> tuple[StoreCall, float]:
+        """Returns the next call and how long it took to come."""
+        start_s = self.now_s
+        while self.now_s < start_s + seconds:
+            call = self.ask()
+            if call is not None:
+                return call, self.now_s - start_s
+            self.now_s += 0.01
+        raise AssertionError(f'no call within {seconds} s')
+
+    def _keep(self, objects: dict[str, StoreItem]) -> None:
+        self.seen = objects
+
+
+def make_announcer() -> Announcer:
+    """Returns an announcer that wants an entry."""
+    announcer = Announcer('agents', 'side-1', Random(1))
+    announcer.want(ENTRY)
+    return announcer
+
+
+def make_context() -> NodeContext:
+    """Returns the context of a node with a clock that stands still."""
+    start = read_node_file(node_file()).content
+    return NodeContext(start.settings, start.is_first, clock=lambda: 10.0)
--- /dev/null
+++ b/features/node_wire.feature
@@ -0,0 +1,91 @@
+Feature: The adapter reads what the platform writes
+
+  Scenario Outline: Heartbeats that cannot be read are refused
+    Given a heartbeat with <field> as <content>
+    Then it is refused with code 402
+
+    Examples:
+      | field            | content     |
+      | service          | 7           |
+      | service          | (missing)   |
+      | state            | "gone"      |
+      | state            | null        |
+      | sequence         | "4"         |
+      | sequence         | true        |
+      | sequence         | 1.5         |
+      | born             | (missing)   |
+      | born             | 1.5         |
+      | address          | "nowhere"   |
+      | max_concurrency  | "4"         |
+      | warmup_left_ms   | "0"         |
+
+  Scenario Outline: Heartbeats whose bytes are strange are refused
+    Given the body of a heartbeat is <body>
+    Then it is refused with code 402
+
+    Examples:
+      | body    |
+      | []      |
+      | 7       |
+      | {       |
+      | null    |
+
+  Scenario: A heartbeat is read
+    Given a heartbeat with state as "draining"
+    Then it says that the target drains, with incarnation 1790000000000
+
+  Scenario: A settings file is read, and what is new in it does no harm
+    Given a settings file
+    Then its node is side-hel-a-1 in hel-a, with peers on port 7720
+
+  Scenario Outline: A settings file that lacks what is needed is refused
+    Given a settings file without <field>
+    Then it is refused with code 402
+
+    Examples:
+      | field               |
+      | node_name           |
+      | role                |
+      | ip                  |
+      | zone                |
+      | internal_port_range |
+      | app                 |
+
+  Scenario: A settings file that is not TOML is refused
+    Given a settings file of other text
+    Then it is refused with code 400
+
+  Scenario Outline: Answers of the store are told apart
+    When the store answers <status> with <body>
+    Then the answer is <tag>
+
+    Examples:
+      | status | body                                     | tag          |
+      | 200    | {"items": [], "as_of": 5}                | done         |
+      | 200    | {"events": [], "as_of": 5}               | done         |
+      | 200    | {"items": 5}                             | malformed    |
+      | 200    | no json                                  | malformed    |
+      | 201    | {"meta": {"name": "a", "revision": 3}}   | done         |
+      | 404    | {}                                       | absent       |
+      | 409    | {"meta": {"name": "a", "revision": 3}}   | conflict     |
+      | 410    | {}                                       | history gone |
+      | 429    | {}                                       | busy         |
+      | 503    | {}                                       | busy         |
+      | 500    | {}                                       | malformed    |
+
+  Scenario: Objects that another writer left unreadable are left out
+    When the store answers 200 with {"items": [7, {}, {"meta": {"name": 3}}, {"meta": {"name": "a", "revision": 2}, "spec": 1}], "as_of": 5}
+    Then the answer holds 1 object and 3 that cannot be read
+
+  Scenario Outline: Frames keep what they carry
+    Given a frame of <what>
+    Then it is read as it was written
+
+    Examples:
+      | what               |
+      | a SYN              |
+      | data in a search   |
+      | news with a packet |
+
+  Scenario: No octets make a frame fail
+    Then 2000 frames of random octets are read or refused
--- /dev/null
+++ b/features/steps/node_agent_steps.py
@@ -0,0 +1,243 @@
+"""Steps of the feature about an agent on the users' platform."""
+
+from behave import given, then, when
+
+from cumindrift.platform.packet import make_reset, read_from_client
+from cumindrift.steering.frame import FrameKind
+from features.builders.node import (
+    ACK,
+    BALANCER_IP,
+    SYN,
+    AgentBench,
+    bounced,
+    client_packet,
+    flow_key,
+    opening,
+    target_packet,
+)
+
+CHANGES = {
+    'of a lower sequence': {'sequence': 4},
+    'of a higher sequence': {'sequence': 6},
+    'of an earlier incarnation': {'incarnation': 900_000, 'target_id': 'i-0'},
+    'of a later incarnation': {'incarnation': 1_100_000, 'target_id': 'i-2'},
+}
+EXAMPLE_SYN = bytes.fromhex(
+    '00000000a1b2c3d5000001009c41c612000101bb644000071122334400000000',
+)
+EXAMPLE_RESET = bytes.fromhex(
+    '00000000000000000000040001bb644000079c41c61200010000000000000000',
+)
+
+
+@given('an agent whose target serves')
+def step_serves(context):
+    context.bench = AgentBench()
+    context.bench.beat()
+
+
+@given('an agent whose target {state}')
+def step_state(context, state):
+    bench = context.bench = AgentBench()
+    if state == 'is not known yet':
+        return
+    if state == 'serves another service':
+        bench.beat(service='asiakirja')
+        return
+    bench.beat(is_draining=state == 'drains')
+    if state == 'left':
+        bench.core.on_left('i-1')
+    if state == 'missed its heartbeats':
+        bench.now_s += 5
+
+
+@given('an agent whose cold target bears {rate:d} a second')
+def step_cold(context, rate):
+    context.bench = AgentBench()
+    context.bench.beat(cold_s=60.0)
+    context.rate = float(rate)
+
+
+@given('an agent that restarted beside its target')
+def step_restarted(context):
+    context.bench = AgentBench(is_first_start=False, started_ms=2_000_000)
+    context.bench.beat()
+
+
+@given('an open flow')
+def step_open_flow(context):
+    context.bench.open_flow()
+
+
+@given('its target started again')
+def step_started_again(context):
+    context.bench.beat(incarnation=1_500_000, target_id='i-9')
+
+
+@when('a SYN arrives')
+def step_syn(context):
+    context.octets = client_packet(SYN)
+    context.bench.receive(opening())
+
+
+@when('a SYN arrives that names no other candidate')
+def step_last_syn(context):
+    context.octets = client_packet(SYN)
+    context.bench.receive(opening(candidate_ips=()))
+
+
+@when('{count:d} SYNs arrive, one each {gap_s:g} s')
+def step_syns(context, count, gap_s):
+    bench = context.bench
+    context.taken_s = []
+    for number in range(count):
+        before = len(bench.outlet.delivered)
+        bench.receive(opening(40001 + number, cold_rate=context.rate))
+        if len(bench.outlet.delivered) > before:
+            context.taken_s.append(bench.now_s)
+            bench.from_target(target_packet(SYN | ACK, port=40001 + number))
+        bench.now_s += gap_s
+
+
+@when('the target answers the SYN')
+def step_answer(context):
+    context.bench.from_target(target_packet(SYN | ACK))
+
+
+@when('the target bounces it')
+def step_bounce(context):
+    context.bench.from_target(bounced(context.bench.outlet.delivered[-1]))
+
+
+@when('its target drains now')
+def step_drains(context):
+    context.bench.beat(is_draining=True, sequence=6)
+
+
+@when('its target leaves')
+def step_leaves(context):
+    context.bench.core.on_left('i-1')
+
+
+@when('{seconds:g} s pass')
+def step_pass(context, seconds):
+    context.bench.pass_time(seconds)
+
+
+@when('data of an unknown flow arrives in a search')
+def step_search(context):
+    context.octets = client_packet(ACK, acknowledged=7001, payload=b'GET')
+    context.bench.send_data(FrameKind.SEARCH)
+
+
+@when('data of the flow arrives')
+def step_data(context):
+    context.bench.send_data(FrameKind.KNOWN)
+
+
+@when('data arrives that acknowledges another target')
+def step_other(context):
+    context.bench.send_data(FrameKind.KNOWN, acknowledged=123456)
+
+
+@when('data arrives for the earlier incarnation')
+def step_earlier(context):
+    context.octets = client_packet(ACK, acknowledged=7001, payload=b'GET')
+    context.bench.send_data(FrameKind.KNOWN, incarnation=900_000)
+
+
+@when('nothing listens at the target any more')
+def step_gone(context):
+    bench = context.bench
+    bench.now_s += 1
+    bench.core.on_target_gone(bench.now_s, bench.now_s)
+
+
+@when('a heartbeat comes that says drains, {change}')
+def step_beat(context, change):
+    fields = {'sequence': 6, **CHANGES[change]}
+    context.effect = context.bench.beat(is_draining=True, **fields)
+
+
+@then('the target got {count:d} packet')
+@then('the target got {count:d} packets')
+def step_got(context, count):
+    assert len(context.bench.outlet.delivered) == count
+
+
+@then('the target got {count:d} packet, as the client wrote it')
+@then('the target got {count:d} packets, as the client wrote it')
+def step_got_same(context, count):
+    assert context.bench.outlet.delivered == [context.octets] * count
+
+
+@then('the client got {count:d} packet')
+def step_client_got(context, count):
+    assert len(context.bench.outlet.answered) == count
+
+
+@then('the balancer is told {kind} for sure')
+def step_told_sure(context, kind):
+    step_told(context, kind)
+    assert context.bench.outlet.told[-1][1].is_sure
+
+
+@then('the balancer is told {kind} with the SYN')
+def step_told_syn(context, kind):
+    step_told(context, kind)
+    assert context.bench.outlet.told[-1][1].packet == context.octets
+
+
+@then('the balancer is told {kinds}')
+def step_told(context, kinds):
+    outlet = context.bench.outlet
+    assert outlet.news_kinds() == kinds.split(', '), outlet.news_kinds()
+    assert {ip for ip, _ in outlet.told} == {BALANCER_IP}
+
+
+@then('the SYN goes to {ip} with {count:d} candidate left')
+def step_goes(context, ip, count):
+    ((sent_ip, message),) = context.bench.outlet.sent
+    assert sent_ip == ip
+    assert len(message.candidate_ips) == count
+    assert message.packet == client_packet(SYN)
+
+
+@then('the target was checked once')
+def step_checked(context):
+    assert context.bench.outlet.checks == 1
+
+
+@then("the client's flow is reset")
+def step_reset(context):
+    assert context.bench.outlet.resets == [flow_key()]
+
+
+@then('no flow is reset')
+def step_no_reset(context):
+    assert not context.bench.outlet.resets
+
+
+@then('the heartbeat is {effect}')
+def step_effect(context, effect):
+    assert context.effect.value == effect, context.effect
+
+
+@then('the target got at most {most:d} SYNs in any second')
+def step_any_second(context, most):
+    taken_s = context.taken_s
+    for start_s in taken_s:
+        count = sum(start_s <= at_s < start_s + 1 for at_s in taken_s)
+        assert count <= most, (count, taken_s)
+    assert taken_s
+
+
+@given('the example of a SYN')
+def step_example(context):
+    context.packet = read_from_client(EXAMPLE_SYN)
+
+
+@then('its reset is the example of a reset')
+def step_example_reset(context):
+    assert context.packet.is_open
+    assert make_reset(context.packet) == EXAMPLE_RESET
--- /dev/null
+++ b/features/steps/node_balancer_steps.py
@@ -0,0 +1,213 @@
+"""Steps of the feature about a balancer on the users' platform."""
+
+from behave import given, then, when
+
+from cumindrift.steering.frame import FrameKind, Load, service_digest
+from features.builders.node import (
+    ACK,
+    SERVICE,
+    SYN,
+    BalancerBench,
+    agent_ip,
+    client_packet,
+    flow_key,
+)
+
+
+@given('a balancer that knows {count:d} agents')
+def step_balancer(context, count):
+    context.bench = BalancerBench(count)
+
+
+@given('a balancer that has read nothing')
+def step_blank(context):
+    bench = context.bench = BalancerBench()
+    bench.directory.has_agents = False
+    bench.put_agents(0)
+    bench.directory.has_agents = False
+
+
+@given(
+    'agent 1 reports {first:d} ms, agent 2 reports {second:d} ms, '
+    'agent 3 reports {third:d} ms'
+)
+def step_reports(context, first, second, third):
+    for number, response_ms in enumerate((first, second, third), start=1):
+        load = Load(1, 0, response_ms, 7)
+        context.bench.news(number, FrameKind.PONG, load=load)
+
+
+@given('a flow that agent {number:d} holds')
+def step_flow(context, number):
+    context.bench.open_flow(number)
+
+
+@given('data centres {first} and {second} are evacuated')
+def step_evacuated(context, first, second):
+    context.bench.directory.take_evacuations(frozenset((first, second)))
+
+
+@given('a manifest that sends the address to another service')
+def step_other_service(context):
+    context.bench.put_manifest(4, 'asiakirja')
+
+
+@when('the client sends a SYN')
+def step_syn(context):
+    context.bench.packet(SYN)
+
+
+@when('the client sends a SYN to an address without a route')
+def step_no_route(context):
+    context.bench.packet(SYN, service_port=9)
+
+
+@when('the client sends data')
+def step_data(context):
+    context.bench.packet(ACK, payload=b'GET', acknowledged=7001)
+
+
+@when('agent {number:d} refuses it whenever it comes, for {seconds:g} s')
+def step_refuses(context, number, seconds):
+    bench = context.bench
+    start_s = bench.now_s
+    seen = 0
+    context.reset_after_s = None
+    while bench.now_s < start_s + seconds:
+        if len(bench.outlet.sent) > seen:
+            seen = len(bench.outlet.sent)
+            bench.news(number, FrameKind.REFUSED, client_packet(SYN))
+        bench.pass_time(0.02)
+        if bench.outlet.resets and context.reset_after_s is None:
+            context.reset_after_s = bench.now_s - start_s
+
+
+@when('agent {number:d} says that it holds the flow')
+def step_holds(context, number):
+    context.bench.news(number, FrameKind.HELD)
+
+
+@when('agent {number:d} returns data of the flow')
+def step_returns(context, number):
+    octets = client_packet(ACK, payload=b'GET', acknowledged=7001)
+    context.bench.news(number, FrameKind.RETURNED, octets)
+
+
+def deny(context, numbers, unsure=()):
+    """Lets agents say that they do not hold the flow."""
+    for number in numbers:
+        is_sure = number not in unsure
+        context.bench.news(number, FrameKind.ABSENT, is_sure=is_sure)
+
+
+@when('every agent says for sure that it does not hold the flow')
+def step_all_deny(context):
+    deny(context, (1, 2, 3))
+
+
+@when('all agents but one say that they do not hold the flow')
+def step_two_deny(context):
+    deny(context, (1, 2))
+
+
+@when('every agent denies the flow, one of them unsure')
+def step_unsure(context):
+    deny(context, (1, 2, 3), unsure=(2,))
+
+
+@when('every agent denies the flow, and another agent has appeared')
+def step_appeared(context):
+    deny(context, (1, 2, 3))
+    context.bench.put_agents(4)
+
+
+@when('the list of agents is verified')
+def step_verified(context):
+    bench = context.bench
+    bench.core.on_agents_verified(bench.now_s + 0.01)
+
+
+@when('agent {number:d} tells of manifest {version:d}')
+def step_newer(context, number, version):
+    context.bench.news(number, FrameKind.PONG, manifest_version=version)
+
+
+@then('the frames sent are {kinds}')
+def step_kinds(context, kinds):
+    found = context.bench.kinds_sent()
+    assert found == kinds.split(', '), found
+
+
+@then('{count:d} SEARCH frames were sent')
+def step_searches(context, count):
+    assert context.bench.kinds_sent() == ['SEARCH'] * count
+
+
+@then("the first frame names {count:d} candidates and the service's digest")
+def step_candidates(context, count):
+    _, message = context.bench.outlet.sent[0]
+    assert len(message.candidate_ips) == count
+    assert message.service_digest == service_digest(SERVICE)
+
+
+@then('the frame goes to agent {number:d}')
+@then('the last frame goes to agent {number:d}')
+def step_goes(context, number):
+    assert context.bench.outlet.sent[-1][0] == agent_ip(number)
+
+
+@then('the SYN went to {count:d} agents')
+def step_went(context, count):
+    ips = {
+        ip
+        for ip, message in context.bench.outlet.sent
+        if message.kind is FrameKind.OPEN
+    }
+    assert len(ips) == count, ips
+
+
+@then('{count:d} agent is pinged')
+def step_pinged(context, count):
+    context.bench.pass_time(0.3)
+    ips = {
+        ip
+        for ip, message in context.bench.outlet.sent
+        if message.kind is FrameKind.PING
+    }
+    assert len(ips) >= count, ips
+
+
+@then('the SYN went to the only agent {count:d} times or more')
+def step_times(context, count):
+    assert context.bench.kinds_sent().count('OPEN') >= count
+
+
+@then("the client's attempt is reset after {low_s:g} s to {high_s:g} s")
+def step_reset_after(context, low_s, high_s):
+    assert low_s <= context.reset_after_s <= high_s, context.reset_after_s
+
+
+@then("the client's attempt is reset at once")
+def step_reset_attempt(context):
+    assert len(context.bench.outlet.resets) == 1
+
+
+@then("the client's flow is reset at once")
+def step_reset_flow(context):
+    assert context.bench.outlet.resets == [flow_key()]
+
+
+@then('nothing is sent and nothing is reset')
+def step_nothing(context):
+    assert not context.bench.outlet.sent
+    assert not context.bench.outlet.resets
+
+
+@then('no flow is reset yet')
+def step_not_yet(context):
+    assert not context.bench.outlet.resets
+
+
+@then('the manifest is asked for')
+def step_manifest(context):
+    assert context.bench.outlet.manifests == 1
--- /dev/null
+++ b/features/steps/node_store_steps.py
@@ -0,0 +1,261 @@
+"""Steps of the feature about a node and the platform's store."""
+
+import json
+
+from behave import given, then, when
+
+from cumindrift.address import Endpoint
+from cumindrift.fleet.call import (
+    AnswerTag,
+    CallVerb,
+    StoreAnswer,
+    StoreCall,
+    StoreItem,
+)
+from cumindrift.fleet.follower import KindFollower
+from cumindrift.fleet.link import RunningCall, StoreLink
+from cumindrift.fleet.supervisor import take_agents, take_manifest
+from features.builders.node_store import (
+    ENTRY,
+    GATHER_S,
+    MANIFEST,
+    FollowerBench,
+    items_of,
+    make_announcer,
+    make_context,
+)
+
+
+@given('a follower of agents')
+def step_follower(context):
+    context.bench = FollowerBench()
+
+
+@given('a follower that listed {names}, as of {as_of:d}')
+def step_listed(context, names, as_of):
+    context.bench = FollowerBench()
+    context.bench.list_all(names, as_of)
+
+
+@when('the answer holds {names} and says that there is more')
+def step_more(context, names):
+    items = items_of(names)
+    context.bench.answer(AnswerTag.DONE, *items, has_more=True)
+
+
+@when('the answer holds {names}, as of {as_of:d}')
+def step_last_page(context, names, as_of):
+    context.bench.answer(AnswerTag.DONE, *items_of(names), as_of=as_of)
+
+
+@when('the watch tells {new}, and that {old} is removed, as of {as_of:d}')
+def step_events(context, new, old, as_of):
+    context.bench.ask()
+    items = (*items_of(new), *items_of(old, is_removed=True))
+    context.bench.answer(AnswerTag.DONE, *items, as_of=as_of)
+
+
+@when('the watch ends with {end}')
+def step_end(context, end):
+    context.bench.ask()
+    context.bench.answer(AnswerTag(end))
+
+
+@when('every call fails for {seconds:g} s')
+def step_outage(context, seconds):
+    bench = context.bench
+    context.count = 0
+    end_s = bench.now_s + seconds
+    while bench.now_s < end_s:
+        if bench.ask() is not None:
+            context.count += 1
+            bench.answer(AnswerTag.LOST)
+        bench.now_s += 0.05
+
+
+@then('it asked {low:d} to {high:d} times')
+def step_asked(context, low, high):
+    assert low <= context.count <= high, context.count
+
+
+@then('it asks for a list')
+def step_asks_list(context):
+    call = context.bench.ask()
+    assert (call.verb, call.after) == (CallVerb.LIST, ''), call
+
+
+@then('it asks for a list after {name}')
+def step_asks_after(context, name):
+    call = context.bench.ask()
+    assert (call.verb, call.after) == (CallVerb.LIST, name), call
+
+
+@then('it asks to watch from {revision:d}')
+def step_asks_watch(context, revision):
+    call = context.bench.ask()
+    assert (call.verb, call.revision) == (CallVerb.WATCH, revision), call
+
+
+@then('it asks to watch from {revision:d}, but not before the pause to gather')
+def step_gathers(context, revision):
+    call, took_s = context.bench.ask_within(2)
+    assert (call.verb, call.revision) == (CallVerb.WATCH, revision), call
+    assert took_s >= GATHER_S - 0.02, took_s
+
+
+@then(
+    'it asks to watch from {revision:d} after {low_s:g} s to {high_s:g} s',
+)
+def step_asks_later(context, revision, low_s, high_s):
+    call, took_s = context.bench.ask_within(2)
+    assert (call.verb, call.revision) == (CallVerb.WATCH, revision), call
+    assert low_s <= took_s <= high_s, took_s
+
+
+@then('the objects are {names}')
+def step_objects(context, names):
+    assert sorted(context.bench.seen) == names.split(', ')
+
+
+@given('a link with a waiting watch and two sources without a call')
+def step_link(context):
+    node = make_context()
+    context.sources = [
+        KindFollower(kind, lambda _objects: None, node.random)
+        for kind in ('waiting', 'first', 'second')
+    ]
+    context.link = StoreLink(
+        Endpoint('127.0.0.1', 9),
+        context.sources,
+        node.health,
+        node.clock,
+    )
+    watch = StoreCall(CallVerb.WATCH, 'waiting', wait_s=25)
+    running = RunningCall(context.sources[0], watch, None, 100.0)
+    context.link.calls[1] = running
+    context.health = node.health
+
+
+@when('the store is lost')
+def step_lost(context):
+    call = StoreCall(CallVerb.LIST, 'first')
+    context.sources[1].failure_count = 1
+    context.sources[2].failure_count = 1
+    context.health.note(AnswerTag.LOST, call, 10.0)
+
+
+@then('one source asks, and it is not the one that waits')
+def step_one_source(context):
+    (source,) = context.link.allowed_sources()
+    assert source is not context.sources[0]
+
+
+@given("an agent's entry that is wanted")
+def step_wanted(context):
+    context.now_s = 5.0
+    context.announcer = make_announcer()
+    context.call = context.announcer.next_call(context.now_s)
+
+
+def answer_entry(context, tag, *items):
+    """Answers the announcer's call and notes its next one."""
+    context.announcer.on_answer(StoreAnswer(tag, items), context.now_s)
+    context.call = context.announcer.next_call(context.now_s)
+
+
+@when('the store answers done')
+def step_done(context):
+    answer_entry(context, AnswerTag.DONE, StoreItem('side-1', 5, ENTRY))
+
+
+@when('the create meets the same content')
+def step_same(context):
+    answer_entry(context, AnswerTag.CONFLICT, StoreItem('side-1', 5, ENTRY))
+
+
+@when('the create meets other content of revision {revision:d}')
+def step_other(context, revision):
+    other = StoreItem('side-1', revision, {'ip': '10.9.9.9'})
+    answer_entry(context, AnswerTag.CONFLICT, other)
+
+
+@when('the answer is lost')
+def step_answer_lost(context):
+    answer_entry(context, AnswerTag.LOST)
+
+
+@when('the service changes before the store answers done')
+def step_changes(context):
+    context.announcer.want({**ENTRY, 'service': 'asiakirja'})
+    step_done(context)
+
+
+@then('it asks to create the entry')
+def step_create(context):
+    assert context.call.verb is CallVerb.CREATE
+    assert context.call.content == ENTRY
+
+
+@then('it asks to create the entry after a pause')
+def step_create_later(context):
+    assert context.call is None
+    context.now_s += 1
+    context.call = context.announcer.next_call(context.now_s)
+    step_create(context)
+
+
+@then('it asks to replace revision {revision:d}')
+def step_replace(context, revision):
+    found = (context.call.verb, context.call.revision)
+    assert found == (CallVerb.REPLACE, revision), found
+
+
+@then('it asks for nothing')
+def step_asks_nothing(context):
+    assert context.call is None
+
+
+@given('a store with an entry {entry}')
+def step_entry(context, entry):
+    context.node = make_context()
+    context.objects = {
+        'strange': StoreItem('strange', 2, json.loads(entry)),
+        'side-1': StoreItem('side-1', 3, ENTRY),
+    }
+
+
+@when('a balancer takes the entries')
+def step_take(context):
+    take_agents(context.node, context.objects)
+
+
+@then('it knows {count:d} agent')
+def step_knows(context, count):
+    assert len(context.node.directory.agents) == count
+
+
+@given('a balancer with manifest 4')
+def step_manifest(context):
+    context.node = make_context()
+    show_manifest(context, MANIFEST, 20)
+
+
+def show_manifest(context, spec, revision):
+    """Lets the store show a manifest."""
+    item = StoreItem('main', revision, spec)
+    take_manifest(context.node, {'main': item})
+
+
+@when('the store shows a manifest without routes')
+def step_no_routes(context):
+    show_manifest(context, {'version': 5}, 21)
+
+
+@when('the store shows manifest 3 of an older revision')
+def step_older(context):
+    show_manifest(context, {**MANIFEST, 'version': 3}, 19)
+
+
+@then('manifest 4 is in force')
+def step_in_force(context):
+    assert context.node.directory.manifest.version == 4
--- /dev/null
+++ b/features/steps/node_wire_steps.py
@@ -0,0 +1,142 @@
+"""Steps of the feature about the adapter of the users' platform."""
+
+import json
+from random import Random
+
+from behave import given, then, when
+
+from cumindrift.outcome import Done, Refused
+from cumindrift.platform.documents import read_heartbeat
+from cumindrift.platform.node_file import read_node_file
+from cumindrift.platform.objects import decode_answer
+from cumindrift.steering.frame import (
+    Carried,
+    FrameKind,
+    Load,
+    News,
+    decode_frame,
+    encode_carried,
+    encode_news,
+)
+from features.builders.node import carried, flow_key, node_file, opening
+
+BEAT = {
+    'service': 'kaynti',
+    'address': '10.1.0.13:8165',
+    'zone': 'hel-a',
+    'version': 'v1',
+    'max_concurrency': 4,
+    'state': 'ready',
+    'warmup_left_ms': 0,
+    'sequence': 4,
+    'born': 1790000000000,
+}
+FRAMES = {
+    'a SYN': opening(cold_rate=4.0),
+    'data in a search': carried(b'x' * 40, FrameKind.SEARCH, hop_count=2),
+    'news with a packet': News(
+        FrameKind.RETURNED,
+        flow_key(),
+        5,
+        6,
+        True,
+        Load(1, 2, 3, 4),
+        b'packet',
+    ),
+}
+
+
+@given('a heartbeat with {field} as {content}')
+def step_beat(context, field, content):
+    bare = dict(BEAT)
+    if content == '(missing)':
+        bare.pop(field)
+    else:
+        bare[field] = json.loads(content)
+    context.outcome = read_heartbeat('i-1', json.dumps(bare).encode())
+
+
+@given('the body of a heartbeat is {body}')
+def step_body(context, body):
+    context.outcome = read_heartbeat('i-1', body.encode())
+
+
+@given('a settings file')
+def step_file(context):
+    context.outcome = read_node_file(node_file())
+
+
+@given('a settings file without {field}')
+def step_file_without(context, field):
+    context.outcome = read_node_file(node_file(**{field: None}))
+
+
+@given('a settings file of other text')
+def step_other_text(context):
+    context.outcome = read_node_file('{"node_name": 1}')
+
+
+@when('the store answers {status:d} with {body}')
+def step_store(context, status, body):
+    context.answer = decode_answer(status, body.encode())
+
+
+@given('a frame of {what}')
+def step_frame(context, what):
+    context.message = FRAMES[what]
+
+
+@then('it is refused with code {code:d}')
+def step_refused(context, code):
+    assert isinstance(context.outcome, Refused), context.outcome
+    assert context.outcome.code == code, context.outcome
+
+
+@then('it says that the target drains, with incarnation {incarnation:d}')
+def step_drains(context, incarnation):
+    assert isinstance(context.outcome, Done), context.outcome
+    beat = context.outcome.content
+    assert beat.is_draining
+    assert beat.incarnation == incarnation
+
+
+@then('its node is {name} in {data_centre}, with peers on port {port:d}')
+def step_node(context, name, data_centre, port):
+    settings = context.outcome.content.settings
+    found = (settings.name, settings.data_centre, settings.peer.port)
+    assert found == (name, data_centre, port)
+
+
+@then('the answer is {tag}')
+def step_tag(context, tag):
+    assert context.answer.tag.value == tag, context.answer
+
+
+@then('the answer holds {count:d} object and {strange:d} that cannot be read')
+def step_holds(context, count, strange):
+    found = (len(context.answer.items), context.answer.unreadable_count)
+    assert found == (count, strange), found
+
+
+@then('it is read as it was written')
+def step_same(context):
+    message = context.message
+    if isinstance(message, Carried):
+        read = decode_frame(encode_carried(message))
+        names = Carried.__attrs_attrs__
+    else:
+        read = decode_frame(encode_news(message))
+        names = News.__attrs_attrs__
+    for each in names:
+        wanted, found = getattr(message, each.name), getattr(read, each.name)
+        if isinstance(wanted, Load):
+            assert found.response_ms == wanted.response_ms
+        else:
+            assert found == wanted, (each.name, found, wanted)
+
+
+@then('{count:d} frames of random octets are read or refused')
+def step_random(context, count):
+    random = Random(7)
+    for _ in range(count):
+        decode_frame(random.randbytes(random.randrange(80)))
