--- a/cumindrift/fleet/context.py
+++ b/cumindrift/fleet/context.py
@@ -56,7 +56,9 @@
         """Takes changed settings; False when they need a new process."""
         known = self.settings
         bound = ('role', 'packets', 'readiness', 'peer', 'store')
-        if any(getattr(known, each) != getattr(settings, each) for each in bound):
+        if any(
+            getattr(known, each) != getattr(settings, each) for each in bound
+        ):
             return False
         self.settings = settings
         self.on_settings(settings)
--- a/cumindrift/fleet/follower.py
+++ b/cumindrift/fleet/follower.py
@@ -57,7 +57,7 @@
                 revision=self._as_of,
                 wait_s=WATCH_WAIT_S,
             )
-        if not self._after:
+        if self._after == '':
             self._asked_s = now_s
         return StoreCall(CallVerb.LIST, self.kind, after=self._after)
 
@@ -80,14 +80,11 @@
         if answer.tag is AnswerTag.HISTORY_GONE:
             self.failure_count = 0
             self.list_again()
-        elif answer.tag is not AnswerTag.DONE:
-            self._fail(now_s)
-        elif self._as_of < 0:
+        elif answer.tag is AnswerTag.DONE:
             self.failure_count = 0
-            self._take_page(answer)
+            self._take(answer, now_s)
         else:
-            self.failure_count = 0
-            self._take_events(answer, now_s)
+            self._fail(now_s)
 
     def _fail(self, now_s: float) -> None:
         self.failure_count += 1
@@ -97,6 +94,12 @@
         )
         self._due_s = now_s + ceiling_s * (1 + self.random.random()) / 2
 
+    def _take(self, answer: StoreAnswer, now_s: float) -> None:
+        if self._as_of < 0:
+            self._take_page(answer)
+        else:
+            self._take_events(answer, now_s)
+
     def _take_page(self, answer: StoreAnswer) -> None:
         for item in answer.items:
             if not item.is_removed:
@@ -106,7 +109,8 @@
             return
         self._as_of = answer.as_of
         self._after = ''
-        self.objects, self._pages = self._pages, {}
+        self.objects = self._pages
+        self._pages = {}
         self.on_objects(self.objects)
         self.verified_s = self._asked_s
         self.on_verified(self.verified_s)
--- a/cumindrift/fleet/supervisor.py
+++ b/cumindrift/fleet/supervisor.py
@@ -1,5 +1,6 @@
 """The fleet supervisor: what is followed in the store, and by whom."""
 
+from functools import partial
 from typing import Any
 
 from cumindrift.code import ResultCode
@@ -50,7 +51,7 @@
     ):
         context.followers[kind] = KindFollower(
             kind,
-            lambda objects, take=take: take(context, objects),
+            partial(take, context),
             context.random,
             gather_s,
         )
--- a/cumindrift/metric.py
+++ b/cumindrift/metric.py
@@ -15,6 +15,7 @@
 )  # fmt: skip
 _TENANT_LABELS = ('team', 'service')
 
+
 @define(slots=True, eq=False, repr=False)
 class Sample:
     """One series: a number that counts up or is set."""
@@ -40,7 +41,7 @@
 
     def __attrs_post_init__(self) -> None:
         """Makes a count for each bound, and one for what is above all."""
-        self.counts = [0] * (len(self.bounds) + 1)
+        self.counts = [0 for _ in (*self.bounds, None)]
 
     def observe(self, amount: float) -> None:
         """Counts one observation."""
@@ -189,7 +190,7 @@
 )
 FLOW_DECISIONS = Counter(
     'cumindrift_flow_decisions',
-    'Decisions about flows on the users\' platform, by service.',
+    "Decisions about flows on the users' platform, by service.",
     ('decision', 'service'),
 )
 OPEN_HOPS = Histogram(
--- a/cumindrift/node.py
+++ b/cumindrift/node.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 
 from cumindrift import quickstart as _quickstart  # isort: split
+
 from circuits.core.pollers import EPoll
 
 from cumindrift.code import ResultCode
--- a/cumindrift/platform/documents.py
+++ b/cumindrift/platform/documents.py
@@ -13,6 +13,8 @@
 # Where the operators' documents lie in the store.
 MANIFEST_KIND, MANIFEST_NAME = 'config', 'main'
 EVACUATION_KIND = 'evacuations'
+# What reading a document of another shape may raise.
+UNREADABLE = (KeyError, TypeError, ValueError, AttributeError, IndexError)
 _MS_PER_S = 1000
 _STATES = {'ready': False, 'draining': True}
 
@@ -21,7 +23,7 @@
     """Reads a manifest; one that cannot be read whole is refused."""
     try:
         return Done(_manifest_of(spec))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except UNREADABLE as error:
         return Refused(ResultCode.WRONG_TYPE, 'config/main', repr(error))
 
 
@@ -29,7 +31,7 @@
     """Reads what a target says of itself."""
     try:
         return Done(_heartbeat_of(target_id, json.loads(body)))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except UNREADABLE as error:
         return Refused(ResultCode.WRONG_TYPE, target_id, repr(error))
 
 
@@ -44,7 +46,9 @@
     limits = spec.get('limits') or {}
     return Manifest(
         version=int(spec['version']),
-        routes={_address_of(route): _shares_of(route) for route in spec['routes']},
+        routes={
+            _address_of(route): _shares_of(route) for route in spec['routes']
+        },
         cold_rates={name: rate for name, rate in rates.items() if rate > 0},
         idle_timeout_s=float(limits.get('idle_timeout_ms', 15000)) / _MS_PER_S,
     )
--- a/cumindrift/platform/node_file.py
+++ b/cumindrift/platform/node_file.py
@@ -9,6 +9,7 @@
 from cumindrift.code import ResultCode
 from cumindrift.fleet.settings import NodeBounds, NodeSettings, TargetPlace
 from cumindrift.outcome import Done, Refused
+from cumindrift.platform.documents import UNREADABLE
 
 PATH_VARIABLE = 'CUMINDRIFT_NODE_FILE'
 _MS_PER_S = 1000
@@ -34,7 +35,7 @@
         return Refused(ResultCode.SYNTAX, '/', str(error))
     try:
         start = NodeStart(_settings_of(bare), bool(bare.get('bootstrap')))
-    except (KeyError, TypeError, ValueError, IndexError) as error:
+    except UNREADABLE as error:
         return Refused(ResultCode.WRONG_TYPE, '/', repr(error))
     return Done(start)
 
--- a/cumindrift/platform/objects.py
+++ b/cumindrift/platform/objects.py
@@ -12,6 +12,7 @@
     StoreCall,
     StoreItem,
 )
+from cumindrift.platform.documents import UNREADABLE
 
 _PATH = '/cumindrift/objects'
 _MS_PER_S = 1000
@@ -57,7 +58,7 @@
         return StoreAnswer(tag)
     try:
         return _answer_of(tag, json.loads(body))
-    except (ValueError, TypeError, KeyError, AttributeError):
+    except UNREADABLE:
         return StoreAnswer(AnswerTag.MALFORMED)
 
 
@@ -76,17 +77,12 @@
 
 
 def _answer_of(tag: AnswerTag, bare: dict[str, Any]) -> StoreAnswer:
-    if 'items' in bare:
-        read = [_item_of(item, is_removed=False) for item in bare['items']]
-    elif 'events' in bare:
-        read = [
-            _item_of(event['object'], is_removed=bool(event.get('removed')))
-            for event in bare['events']
-        ]
-    elif 'meta' in bare:
-        read = [_item_of(bare, is_removed=False)]
-    else:
-        read = []
+    listed = bare.get('items', [bare] if 'meta' in bare else [])
+    read = [_item_of(item, is_removed=False) for item in listed]
+    read.extend(
+        _item_of(event['object'], is_removed=bool(event.get('removed')))
+        for event in bare.get('events', [])
+    )
     items = tuple(item for item in read if item is not None)
     return StoreAnswer(
         tag,
--- a/cumindrift/platform/packet.py
+++ b/cumindrift/platform/packet.py
@@ -8,6 +8,7 @@
 _HEAD = Struct('>IIHBBH4sH4sII')
 HEAD_BYTES = _HEAD.size
 _FLAGS_AT = 10
+_NO_ECHO = bytes(4)
 _SYN, _ACK, _FIN, _RST, _BOUNCED = 1, 128, 8, 4, 2
 
 
@@ -27,8 +28,8 @@
         bounced = _read(_restore(octets), octets[12:24])
         bounced.is_bounced = True
         return bounced
-    flow_key = octets[18:20] + octets[20:24] + octets[12:14] + octets[14:18]
-    return _read(octets, flow_key)
+    # The client's key has the two ends the other way round.
+    return _read(octets, octets[18:24] + octets[12:18])
 
 
 def make_reset(packet: FlowPacket) -> bytes:
@@ -88,4 +89,6 @@
     """Returns a bounced packet as its sender wrote it."""
     # The first word and the pad belong to the steering, not to the sender.
     flags = octets[_FLAGS_AT] & ~_BOUNCED
-    return b'\0\0\0\0' + octets[4:10] + bytes((flags, 0)) + octets[12:]
+    return b''.join(
+        (_NO_ECHO, octets[4:10], bytes((flags, 0)), octets[12:]),
+    )
--- a/cumindrift/platform/store.py
+++ b/cumindrift/platform/store.py
@@ -6,7 +6,6 @@
 from attrs import define
 
 from cumindrift.outcome import NotRun, Outcome, Refused
-from cumindrift.platform.exchange import VALUE_BYTES_MAX
 
 # The version of an object that is not there yet.
 ABSENT_VERSION = 0
--- a/cumindrift/quickstart.py
+++ b/cumindrift/quickstart.py
@@ -19,7 +19,8 @@
 def stand_in(name: str, **members: Any) -> None:
     """Puts a small module in place of one that nothing here uses."""
     module = ModuleType(name)
-    vars(module).update(members)
+    for member, content in members.items():
+        setattr(module, member, content)
     sys.modules.setdefault(name, module)
 
 
--- a/cumindrift/settings/snapshot.py
+++ b/cumindrift/settings/snapshot.py
@@ -12,7 +12,7 @@
 from cumindrift.document import make_converter, structure
 from cumindrift.invariant import require
 from cumindrift.outcome import Done, Refused
-from cumindrift.platform.store import VALUE_BYTES_MAX
+from cumindrift.platform.exchange import VALUE_BYTES_MAX
 from cumindrift.settings.tree import Snapshot, Tree
 
 DIGEST_BYTES = 16
--- a/cumindrift/steering/agent.py
+++ b/cumindrift/steering/agent.py
@@ -274,21 +274,31 @@
         flow = self.table.flows.get(key)
         if flow is None:
             self._take_unknown(carried, packet, now_s)
-        elif not self.table.accepts(flow, packet):
+        elif self.table.accepts(flow, packet):
+            self._take_held(carried, flow, packet, now_s)
+        else:
             # Another target's answer was the first that the client saw.
             self._return(carried, packet)
-        elif self.target.is_gone:
+
+    def _take_held(
+        self,
+        carried: Carried,
+        flow: Flow,
+        packet: FlowPacket,
+        now_s: float,
+    ) -> None:
+        key = packet.flow_key
+        if self.target.is_gone:
             self._end(key, 'target-gone', packet)
-        else:
-            if carried.kind is FrameKind.SEARCH or (
-                flow.origin_ip != carried.origin_ip
-            ):
-                flow.origin_ip = carried.origin_ip
-                self._tell(carried.origin_ip, FrameKind.HELD, key)
-            self.table.note_client(flow, packet, now_s)
-            if packet.payload_bytes and not self._unheard_s:
-                self._unheard_s = now_s
-            self.outlet.deliver(packet.octets)
+            return
+        is_new_origin = flow.origin_ip != carried.origin_ip
+        if is_new_origin or carried.kind is FrameKind.SEARCH:
+            flow.origin_ip = carried.origin_ip
+            self._tell(carried.origin_ip, FrameKind.HELD, key)
+        self.table.note_client(flow, packet, now_s)
+        if packet.payload_bytes:
+            self._unheard_s = self._unheard_s or now_s
+        self.outlet.deliver(packet.octets)
 
     def _take_unknown(
         self,
@@ -297,8 +307,8 @@
         now_s: float,
     ) -> None:
         target = self.target
-        is_ended = 0 < carried.incarnation < target.incarnation
-        if is_ended and target.is_sure and not packet.is_reset:
+        is_known = target.is_sure or target.is_gone
+        if is_known and 0 < carried.incarnation < target.incarnation:
             # The flow was this target's before its last start.
             self._note(
                 'flow-reset',
@@ -310,12 +320,11 @@
             )
             self.outlet.reset(packet)
             self._tell(carried.origin_ip, FrameKind.ENDED, packet.flow_key)
-        elif target.is_sure or target.is_gone:
+        elif is_known:
             self._return(carried, packet, is_certain=target.is_gone)
-        elif packet.flow_key in self.probes:
-            self.outlet.deliver(packet.octets)
         else:
-            self.probes[packet.flow_key] = Probe(carried, packet, now_s)
+            probe = Probe(carried, packet, now_s)
+            self.probes.setdefault(packet.flow_key, probe)
             self.outlet.deliver(packet.octets)
 
     def _return(
--- a/cumindrift/steering/director.py
+++ b/cumindrift/steering/director.py
@@ -25,7 +25,7 @@
     CANDIDATES_MAX,
     AgentLoad,
     OpenPolicy,
-    open_policies,
+    order_by_load,
 )
 from cumindrift.steering.packet import FlowPacket
 from cumindrift.steering.search import SEARCHES_MAX, Search
@@ -72,7 +72,7 @@
     service_endpoint: Callable[[bytes], Endpoint]
     events: EventLog
     random: Random = field(factory=Random)
-    policy: OpenPolicy = open_policies.get('lightest')
+    policy: OpenPolicy = order_by_load
     outlet: Any = None
     hints: HintTable = field(factory=HintTable)
     loads: dict[str, AgentLoad] = field(factory=dict)
@@ -295,6 +295,7 @@
         packet: FlowPacket,
         hint: Hint | None,
     ) -> None:
+        """Sends a packet after the SYN to an agent."""
         carried = Carried(
             kind,
             self.ip,
@@ -343,6 +344,7 @@
                 searches.pop(key)
 
     def load_of(self, ip: str) -> AgentLoad:
+        """Returns what is known of an agent, made on first use."""
         found = self.loads.get(ip)
         if found is None:
             found = AgentLoad()
@@ -350,6 +352,7 @@
         return found
 
     def note(self, event: str, key: bytes, **fields: Any) -> None:
+        """Counts and logs a decision about a flow."""
         FLOW_DECISIONS.labels(event, str(fields.get('service', ''))).inc()
         self.events.note(event, flow=self.name_flow(key), **fields)
 
--- a/cumindrift/steering/frame.py
+++ b/cumindrift/steering/frame.py
@@ -2,8 +2,7 @@
 
 from enum import IntEnum, unique
 from socket import inet_aton, inet_ntoa
-from struct import Struct
-from struct import error as StructError
+from struct import Struct, error
 from zlib import crc32
 
 from attrs import define, field
@@ -14,6 +13,8 @@
 _CARRIED = Struct('>BBBx4sQQIf')
 _NEWS = Struct(f'>BBxx{FLOW_KEY_BYTES}sQQHHHH')
 _IP_BYTES = 4
+# What reading octets that are no frame may raise.
+UNREADABLE = (IndexError, ValueError, OSError, error)
 _COUNT_MAX = 0xFFFF
 
 
@@ -126,7 +127,7 @@
         if octets[0] < FrameKind.HELD:
             return _decode_carried(octets)
         return _decode_news(octets)
-    except (IndexError, ValueError, OSError, StructError):
+    except UNREADABLE:
         return None
 
 
--- a/cumindrift/steering/target.py
+++ b/cumindrift/steering/target.py
@@ -125,11 +125,9 @@
             return Refusal.UNKNOWN
         if service is not None and beat.service != service:
             return Refusal.OTHER_SERVICE
-        if self.has_left or self.is_gone:
-            return Refusal.GONE
-        if beat.is_draining:
+        if beat.is_draining or self.has_left:
             return Refusal.DRAINING
-        if self.is_silent or self._has_missed_beats(now_s):
+        if self.is_gone or self.is_silent or self._has_missed_beats(now_s):
             return Refusal.SILENT
         if not self._bears_another(cold_rate, now_s):
             return Refusal.COLD
--- a/features/builders/node.py
+++ b/features/builders/node.py
@@ -48,20 +48,23 @@
     service_port: int = SERVICE_ADDRESS.port,
 ) -> bytes:
     """Returns a packet of the client at that port."""
-    return pack(
-        '>IIHBBH4sH4sII',
-        0,
-        0xA1B2C3D5,
-        len(payload),
-        flags,
-        0,
-        port,
-        bytes((198, 18, 0, 1)),
-        service_port,
-        bytes((100, 64, 0, 7)),
-        sequence,
-        acknowledged,
-    ) + payload
+    return (
+        pack(
+            '>IIHBBH4sH4sII',
+            0,
+            0xA1B2C3D5,
+            len(payload),
+            flags,
+            0,
+            port,
+            bytes((198, 18, 0, 1)),
+            service_port,
+            bytes((100, 64, 0, 7)),
+            sequence,
+            acknowledged,
+        )
+        + payload
+    )
 
 
 def target_packet(
@@ -72,20 +75,23 @@
     payload: bytes = b'',
 ) -> bytes:
     """Returns a packet of the target to that client."""
-    return pack(
-        '>IIHBBH4sH4sII',
-        0,
-        0x55,
-        len(payload),
-        flags,
-        0,
-        SERVICE_ADDRESS.port,
-        bytes((100, 64, 0, 7)),
-        port,
-        bytes((198, 18, 0, 1)),
-        sequence,
-        101,
-    ) + payload
+    return (
+        pack(
+            '>IIHBBH4sH4sII',
+            0,
+            0x55,
+            len(payload),
+            flags,
+            0,
+            SERVICE_ADDRESS.port,
+            bytes((100, 64, 0, 7)),
+            port,
+            bytes((198, 18, 0, 1)),
+            sequence,
+            101,
+        )
+        + payload
+    )
 
 
 def bounced(octets: bytes) -> bytes:
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -4,7 +4,8 @@
 
 from behave import given, then, when
 
-from cumindrift.platform.store import VALUE_BYTES_MAX, StoredObject
+from cumindrift.platform.exchange import VALUE_BYTES_MAX
+from cumindrift.platform.store import StoredObject
 from cumindrift.settings.path import ABSENT
 from cumindrift.settings.record import (
     HistoryEntry,
