Agents take their entry back when their target has ended; balancers remove dead ones

Cause: an entry without a machine makes each search incomplete, so that no flow without a holder can be proved lost, and costs a SYN its first 60 ms.

--- a/cumindrift/fleet/announcer.py
+++ b/cumindrift/fleet/announcer.py
@@ -36,6 +36,12 @@
             self.is_written = False
             self._due_s = 0.0
 
+    def check(self) -> None:
+        """Makes sure that the store still holds what is wanted."""
+        if self.is_written and self.wanted is not None:
+            self._revision = 0
+            self.is_written = False
+
     def next_call(self, now_s: float) -> StoreCall | None:
         """Returns the call that is due now, if any."""
         is_idle = self.is_written or self._is_running
--- a/cumindrift/fleet/context.py
+++ b/cumindrift/fleet/context.py
@@ -12,6 +12,7 @@
 from cumindrift.fleet.directory import Directory
 from cumindrift.fleet.follower import KindFollower
 from cumindrift.fleet.link import CallSource, StoreHealth, StoreLink
+from cumindrift.fleet.remover import Remover
 from cumindrift.fleet.settings import NodeSettings
 
 _MS_PER_S = 1000
@@ -31,6 +32,7 @@
     directory: Directory = field(factory=Directory)
     followers: dict[str, KindFollower] = field(factory=dict)
     announcer: Announcer | None = None
+    remover: Remover | None = None
     # Set while the link runs.
     link: StoreLink | None = None
     # The core of the role, which HTTP routes ask.
@@ -38,6 +40,8 @@
     is_stopping: bool = False
     # Hands changed settings to the core.
     on_settings: Callable[[NodeSettings], None] = lambda _settings: None
+    # Starts what has to be done before the process may end.
+    begin_leave: Callable[[], None] = lambda: None
     # Answers True when the process may end; asked once a tick.
     may_leave: Callable[[float], bool] = lambda _now_s: True
 
@@ -49,8 +53,8 @@
     @property
     def sources(self) -> tuple[CallSource, ...]:
         """Returns all that asks the store."""
-        own = (self.announcer,) if self.announcer else ()
-        return (*self.followers.values(), *own)
+        own = (self.announcer, self.remover)
+        return (*self.followers.values(), *filter(None, own))
 
     def take_settings(self, settings: NodeSettings) -> bool:
         """Takes changed settings; False when they need a new process."""
--- a/cumindrift/fleet/lifecycle.py
+++ b/cumindrift/fleet/lifecycle.py
@@ -41,6 +41,7 @@
         # A tick before the platform would kill it.
         self._until_s = now_s + context.settings.bounds.stop_within_s * 3 / 4
         context.events.note_urgently('node-stopping', signal=int(number))
+        context.begin_leave()
         if context.may_leave(now_s):
             self._leave()
 
--- a/cumindrift/fleet/link.py
+++ b/cumindrift/fleet/link.py
@@ -133,23 +133,26 @@
                 self._end(running, StoreAnswer(AnswerTag.LOST))
         for source in self.allowed_sources():
             call = source.next_call(now_s)
-            if call is not None:
-                self._start(source, call, now_s)
+            if call is None:
+                continue
+            self._start(source, call, now_s)
+            if self._health.lost_since_s:
+                return
+
+    def allowed_sources(self) -> list[CallSource]:
+        """Returns the sources that may start a call, first who may first.
 
-    def allowed_sources(self) -> tuple[CallSource, ...]:
-        """Returns the sources that may start a call now."""
+        A watch may wait on a channel that an outage has silenced, so only
+        a source without a call can find out that the store is back.
+        """
         if not self._health.lost_since_s:
-            return self._sources
-        busy = [running.source for running in self.calls.values()]
-        if any(
-            running.call.verb is not CallVerb.WATCH
-            for running in self.calls.values()
-        ):
-            return ()
-        # A watch may wait on a channel that the outage has silenced, so
-        # only a source without a call can find out that the store is back.
+            return list(self._sources)
+        calls = self.calls.values()
+        if any(running.call.verb is not CallVerb.WATCH for running in calls):
+            return []
+        busy = [running.source for running in calls]
         idle = [source for source in self._sources if source not in busy]
-        return tuple(sorted(idle, key=lambda each: each.failure_count)[:1])
+        return sorted(idle, key=lambda source: source.failure_count)
 
     def _start(self, source: CallSource, call: StoreCall, now_s: float) -> None:
         self._serial += 1
--- a/cumindrift/fleet/settings.py
+++ b/cumindrift/fleet/settings.py
@@ -11,6 +11,8 @@
 
     stop_within_s: float = 6.0
     flow_lifetime_s: float = 60.0
+    # An address serves nobody else for this long after its target ended.
+    address_reuse_s: float = 2.0
     # A cold target bears its rate times the factor, plus the slack.
     cold_rate_factor: float = 1.5
     cold_rate_slack: float = 5.0
--- a/cumindrift/fleet/supervisor.py
+++ b/cumindrift/fleet/supervisor.py
@@ -9,6 +9,7 @@
 from cumindrift.fleet.directory import AgentEntry
 from cumindrift.fleet.follower import KindFollower, Objects
 from cumindrift.fleet.link import StoreLink
+from cumindrift.fleet.remover import Remover
 from cumindrift.outcome import Refused
 from cumindrift.platform.documents import (
     EVACUATION_KIND,
@@ -55,6 +56,7 @@
             context.random,
             gather_s,
         )
+    context.remover = Remover(AGENT_KIND)
 
 
 def announce_agent(context: NodeContext, service: str) -> None:
@@ -75,6 +77,13 @@
     )
 
 
+def remove_agent(context: NodeContext, name: str) -> None:
+    """Takes away the entry of an agent that is gone for good."""
+    item = context.followers[AGENT_KIND].objects.get(name)
+    if item is not None:
+        context.remover.remove(name, item.revision)
+
+
 def verify_kind(context: NodeContext, kind: str) -> None:
     """Asks for the whole list of a kind, at most once a period."""
     follower = context.followers[kind]
--- a/cumindrift/platform/node_file.py
+++ b/cumindrift/platform/node_file.py
@@ -66,6 +66,7 @@
     return NodeBounds(
         float(bare.get('grace_s', plain.stop_within_s)),
         float(bare.get('flow_ttl_s', plain.flow_lifetime_s)),
+        float(bare.get('addr_reuse_s', plain.address_reuse_s)),
         float(bare.get('warmup_factor', plain.cold_rate_factor)),
         float(bare.get('warmup_slack', plain.cold_rate_slack)),
     )
--- a/cumindrift/steering/agent.py
+++ b/cumindrift/steering/agent.py
@@ -39,6 +39,8 @@
 # A target returns a packet that it does not hold at once.
 RETURN_WITHIN_S = 0.05
 EXPIRE_PERIOD_S = 5.0
+# An agent that no balancer has called for this long may have lost its entry.
+UNCALLED_S = 10.0
 
 
 class AgentOutlet(Protocol):
@@ -62,6 +64,9 @@
     def check_target(self) -> None:
         """Finds out whether the target's process still listens."""
 
+    def check_entry(self) -> None:
+        """Makes sure that the store still holds this agent's entry."""
+
 
 @define(slots=True, eq=False, repr=False)
 class Probe:
@@ -95,10 +100,12 @@
     # Since when the target has left data without any packet; 0 for never.
     _unheard_s: float = 0.0
     _check_s: float = 0.0
+    _called_s: float = 0.0
     _manifest_version: int = 0
 
     def on_carried(self, carried: Carried, now_s: float) -> None:
         """Takes a client's packet from a balancer or another agent."""
+        self._called_s = now_s
         if carried.kind is FrameKind.PING:
             self._tell(carried.origin_ip, FrameKind.PONG)
             return
@@ -190,6 +197,8 @@
         if now_s >= self._expire_s:
             self._expire_s = now_s + EXPIRE_PERIOD_S
             self.table.expire(now_s)
+            if now_s - self._called_s > UNCALLED_S:
+                self.outlet.check_entry()
         return bool(self.probes or self._opening or is_unheard)
 
     def _check_target(self, now_s: float) -> None:
--- a/cumindrift/steering/director.py
+++ b/cumindrift/steering/director.py
@@ -36,6 +36,9 @@
 OPEN_GIVEN_UP_S = 1.0
 OPEN_AGAIN_S = 0.1
 PING_PERIOD_S = 0.3
+# An agent that answered nothing for this long has no machine any more. It
+# enters itself again should it come back.
+GONE_AFTER_S = 20.0
 EXPIRE_PERIOD_S = 5.0
 
 
@@ -48,6 +51,9 @@
     def reset(self, packet: FlowPacket) -> None:
         """Resets the flow of a client's packet."""
 
+    def remove_agent(self, name: str) -> None:
+        """Takes the entry of an agent out of the store."""
+
     def verify_agents(self) -> None:
         """Asks the store for the list of agents as it is now."""
 
@@ -142,7 +148,7 @@
                 self._retry_open(key, hint, now_s)
         if now_s >= self._ping_s:
             self._ping_s = now_s + PING_PERIOD_S
-            self._ping_silent()
+            self._ping_silent(now_s)
         if now_s >= self._expire_s:
             self._expire_s = now_s + EXPIRE_PERIOD_S
             self._expire(now_s)
@@ -323,11 +329,21 @@
         )
         self.outlet.carry(hint.agent_ip, carried)
 
-    def _ping_silent(self) -> None:
+    def _ping_silent(self, now_s: float) -> None:
         ping = Carried(FrameKind.PING, self.ip, b'')
-        for ip, load in self.loads.items():
-            if load.silent_since_s:
-                self.outlet.carry(ip, ping)
+        for entry in self.directory.agents.values():
+            load = self.loads.get(entry.ip)
+            if load is None or not load.silent_since_s:
+                continue
+            self.outlet.carry(entry.ip, ping)
+            if now_s - load.silent_since_s >= GONE_AFTER_S:
+                load.silent_since_s = now_s
+                self.events.note_urgently(
+                    'agent-removed',
+                    agent=entry.name,
+                    silent_s=GONE_AFTER_S,
+                )
+                self.outlet.remove_agent(entry.name)
 
     def _expire(self, now_s: float) -> None:
         known_ips = self.directory.agent_ips()
--- a/cumindrift/steering/port.py
+++ b/cumindrift/steering/port.py
@@ -10,7 +10,11 @@
 from cumindrift.address import Endpoint
 from cumindrift.fleet.context import NodeContext
 from cumindrift.fleet.settings import TargetPlace
-from cumindrift.fleet.supervisor import AGENT_KIND, verify_kind
+from cumindrift.fleet.supervisor import (
+    AGENT_KIND,
+    remove_agent,
+    verify_kind,
+)
 from cumindrift.platform.documents import MANIFEST_KIND
 from cumindrift.platform.packet import client_ip, make_reset, read_from_target
 from cumindrift.port import DatagramPort, find_poller
@@ -75,6 +79,10 @@
 class BalancerPeerPort(PeerPort):
     """The balancer's peer port; it also asks the store for its core."""
 
+    def remove_agent(self, name: str) -> None:
+        """Takes the entry of an agent out of the store."""
+        remove_agent(self._context, name)
+
     def verify_agents(self) -> None:
         """Asks the store for the list of agents as it is now."""
         verify_kind(self._context, AGENT_KIND)
@@ -134,6 +142,10 @@
         self._target_port.release()
         super().release()
 
+    def check_entry(self) -> None:
+        """Makes sure that the store still holds this agent's entry."""
+        self._context.announcer.check()
+
     def check_target(self) -> None:
         """Finds out whether the target's process still listens."""
         TargetCheck(self._context, self._place.packets).register(self)
--- a/cumindrift/steering/supervisor.py
+++ b/cumindrift/steering/supervisor.py
@@ -1,6 +1,7 @@
 """The steering supervisor of each role, and its children."""
 
 from collections.abc import Callable
+from functools import partial
 
 from cumindrift.administration.http import HttpServer
 from cumindrift.fleet.context import NodeContext
@@ -26,6 +27,8 @@
 
 BUSY_TICK_S = 0.02
 IDLE_TICK_S = 0.1
+# How long an agent tries to take its entry back.
+WITHDRAWAL_S = 2.0
 # Routers let go after two probes without success, half a second apart.
 ROUTERS_LET_GO_S = 1.6
 
@@ -90,6 +93,8 @@
     )
     context.core = core
     announce_agent(context, place.service)
+    context.begin_leave = partial(_withdraw, context, core)
+    context.may_leave = _after_withdrawal(context)
 
     def build() -> Supervisor:
         return Supervisor(
@@ -136,6 +141,27 @@
     )
 
 
+def _withdraw(context: NodeContext, core: AgentCore) -> None:
+    """Takes the entry back when the target has ended for good.
+
+    A process that only starts again keeps it: its target serves on.
+    """
+    target = core.target
+    if target.has_left or target.is_gone:
+        context.announcer.want(None)
+
+
+def _after_withdrawal(context: NodeContext) -> Callable[[float], bool]:
+    asked_s: list[float] = []
+
+    def may_leave(now_s: float) -> bool:
+        asked_s.append(now_s)
+        is_late = now_s - asked_s[0] >= WITHDRAWAL_S
+        return context.announcer.is_written or is_late
+
+    return may_leave
+
+
 def _after_routers(context: NodeContext) -> Callable[[float], bool]:
     """Serves on until the routers have seen that it is not ready."""
     asked_s: list[float] = []
--- a/cumindrift/steering/target.py
+++ b/cumindrift/steering/target.py
@@ -10,6 +10,10 @@
 
 # Beats that a target may miss before it counts as silent.
 BEATS_MISSED_MAX = 3
+# The least time that a beat may be late, as a share of the time between two.
+BEAT_LATE_MIN = 1.4
+# How much earlier than an address may serve others its target is doubted.
+REUSE_MARGIN_S = 0.1
 # A sliding second and a little, since arrivals are judged elsewhere.
 COLD_WINDOW_S = 1.1
 # A target that says it started this much after us started under our eyes;
@@ -138,7 +142,13 @@
         self._opened_s.append(now_s)
 
     def _has_missed_beats(self, now_s: float) -> bool:
-        return now_s - self.beat_s > self.heartbeat_s * BEATS_MISSED_MAX
+        """Tells whether the address may belong to another target by now."""
+        allowed_s = min(
+            self.heartbeat_s * BEATS_MISSED_MAX,
+            self.bounds.address_reuse_s - REUSE_MARGIN_S,
+        )
+        allowed_s = max(allowed_s, self.heartbeat_s * BEAT_LATE_MIN)
+        return now_s - self.beat_s > allowed_s
 
     def _bears_another(self, cold_rate: float, now_s: float) -> bool:
         opened_s = self._opened_s
--- a/features/builders/node.py
+++ b/features/builders/node.py
@@ -147,7 +147,9 @@
     resets: list[bytes] = field(factory=list)
     sent: list[tuple[str, Carried]] = field(factory=list)
     told: list[tuple[str, News]] = field(factory=list)
+    removed: list[str] = field(factory=list)
     checks: int = 0
+    entry_checks: int = 0
     agent_lists: int = 0
     manifests: int = 0
 
@@ -175,6 +177,14 @@
         """Counts."""
         self.checks += 1
 
+    def check_entry(self) -> None:
+        """Counts."""
+        self.entry_checks += 1
+
+    def remove_agent(self, name: str) -> None:
+        """Keeps the name."""
+        self.removed.append(name)
+
     def verify_agents(self) -> None:
         """Counts."""
         self.agent_lists += 1
--- a/features/node_agent.feature
+++ b/features/node_agent.feature
@@ -116,6 +116,12 @@
     And 0.4 s pass
     Then the target was checked once
 
+  Scenario: A target whose address may serve another by now gets no new flow
+    Given an agent whose target serves
+    When 1.95 s pass
+    And a SYN arrives
+    Then the target got 0 packets
+
   Scenario: A draining target keeps its flows
     Given an agent whose target serves
     And an open flow
--- a/features/node_balancer.feature
+++ b/features/node_balancer.feature
@@ -33,6 +33,14 @@
     Then the SYN went to 2 agents
     And 1 agent is pinged
 
+  Scenario: An agent that answers nothing for long loses its entry
+    Given a balancer that knows 3 agents
+    When the client sends a SYN
+    And 19 s pass
+    Then no entry is removed
+    When 2 s pass
+    Then 2 or more entries are removed
+
   Scenario: When all agents refuse, the SYN waits for a moment and is then refused
     Given a balancer that knows 1 agents
     When the client sends a SYN
--- a/features/node_store.feature
+++ b/features/node_store.feature
@@ -42,7 +42,8 @@
   Scenario: During an outage one source asks, and not one that waits
     Given a link with a waiting watch and two sources without a call
     When the store is lost
-    Then one source asks, and it is not the one that waits
+    Then the sources that may ask are first, second
+    And one of them asks at a time
 
   Scenario: An entry is created
     Given an agent's entry that is wanted
--- a/features/steps/node_balancer_steps.py
+++ b/features/steps/node_balancer_steps.py
@@ -211,3 +211,13 @@
 @then('the manifest is asked for')
 def step_manifest(context):
     assert context.bench.outlet.manifests == 1
+
+
+@then('no entry is removed')
+def step_none_removed(context):
+    assert not context.bench.outlet.removed
+
+
+@then('{count:d} or more entries are removed')
+def step_removed(context, count):
+    assert len(set(context.bench.outlet.removed)) >= count
--- a/features/steps/node_store_steps.py
+++ b/features/steps/node_store_steps.py
@@ -144,10 +144,18 @@
     context.health.note(AnswerTag.LOST, call, 10.0)
 
 
-@then('one source asks, and it is not the one that waits')
+@then('the sources that may ask are {names}')
+def step_may_ask(context, names):
+    found = [source.kind for source in context.link.allowed_sources()]
+    assert found == names.split(', '), found
+
+
+@then('one of them asks at a time')
 def step_one_source(context):
-    (source,) = context.link.allowed_sources()
-    assert source is not context.sources[0]
+    call = StoreCall(CallVerb.LIST, 'first')
+    running = RunningCall(context.sources[1], call, None, 100.0)
+    context.link.calls[2] = running
+    assert not context.link.allowed_sources()
 
 
 @given("an agent's entry that is wanted")
