--- a/cumindrift/fleet/context.py
+++ b/cumindrift/fleet/context.py
@@ -38,6 +38,8 @@
     # The core of the role, which HTTP routes ask.
     core: Any = None
     is_stopping: bool = False
+    # The newest version of the manifest that a peer acts by.
+    heard_version: int = 0
     # Hands changed settings to the core.
     on_settings: Callable[[NodeSettings], None] = lambda _settings: None
     # Starts what has to be done before the process may end.
@@ -56,6 +58,15 @@
         own = (self.announcer, self.remover)
         return (*self.followers.values(), *filter(None, own))
 
+    @property
+    def needs_peers(self) -> bool:
+        """Tells whether peers may know what the store does not tell."""
+        directory = self.directory
+        if not self.followers or not self.health.is_lost:
+            return False
+        is_behind = self.heard_version > directory.manifest.version
+        return is_behind or not directory.is_complete
+
     def take_settings(self, settings: NodeSettings) -> bool:
         """Takes changed settings; False when they need a new process."""
         known = self.settings
--- a/cumindrift/fleet/follower.py
+++ b/cumindrift/fleet/follower.py
@@ -44,13 +44,15 @@
     _due_s: float = 0.0
     _asked_s: float = 0.0
     _is_running: bool = False
+    _is_listing: bool = False
 
     def next_call(self, now_s: float) -> StoreCall | None:
         """Returns the call that is due now, if any."""
         if self._is_running or now_s < self._due_s:
             return None
         self._is_running = True
-        if self._as_of >= 0:
+        self._is_listing = self._as_of < 0
+        if not self._is_listing:
             return StoreCall(
                 CallVerb.WATCH,
                 self.kind,
@@ -64,7 +66,7 @@
     @property
     def is_watching(self) -> bool:
         """Tells whether a watch waits, which `list_again` may replace."""
-        return self._is_running and self._as_of >= 0
+        return self._is_running and not self._is_listing
 
     def list_again(self) -> None:
         """Makes the next call a list, once the running call has ended."""
@@ -74,6 +76,20 @@
         self._is_running = False
         self._due_s = 0.0
 
+    @property
+    def as_of(self) -> int:
+        """Returns the store's revision that the objects show; -1 for none."""
+        return self._as_of
+
+    def adopt(self, objects: Objects, as_of: int) -> bool:
+        """Takes what a peer knows if it is newer than what is known here."""
+        if as_of <= self._as_of:
+            return False
+        self._as_of = as_of
+        self.objects = objects
+        self.on_objects(objects)
+        return True
+
     def on_answer(self, answer: StoreAnswer, now_s: float) -> None:
         """Takes an answer to the last call."""
         self._is_running = False
@@ -95,7 +111,7 @@
         self._due_s = now_s + ceiling_s * (1 + self.random.random()) / 2
 
     def _take(self, answer: StoreAnswer, now_s: float) -> None:
-        if self._as_of < 0:
+        if self._is_listing:
             self._take_page(answer)
         else:
             self._take_events(answer, now_s)
--- a/cumindrift/fleet/link.py
+++ b/cumindrift/fleet/link.py
@@ -58,6 +58,11 @@
     lost_since_s: float = 0.0
     answered_s: float = 0.0
 
+    @property
+    def is_lost(self) -> bool:
+        """Tells whether the last call failed."""
+        return self.lost_since_s > 0
+
     def note(self, tag: AnswerTag, call: StoreCall, now_s: float) -> None:
         """Takes how a call ended."""
         STORE_CALLS.labels(call.verb.value, tag.value).inc()
--- /dev/null
+++ b/cumindrift/fleet/peering.py
@@ -0,0 +1,116 @@
+"""What balancers tell each other while the store does not answer."""
+
+import json
+from typing import Any
+
+from cumindrift.address import Endpoint
+from cumindrift.exchange import PlainAnswer, PlainRequest
+from cumindrift.fleet.call import StoreItem
+from cumindrift.fleet.context import NodeContext
+from cumindrift.platform.exchange import HttpExchange
+from cumindrift.supervision import Child
+from cumindrift.ticker import Ticker
+
+# Serves what peers read, and metrics, on every node.
+PAGES_PORT = 9102
+BELIEFS_PATH = '/beliefs'
+TICK_PERIOD_S = 0.3
+CALL_TIMEOUT_S = 1.0
+STATUS_OK = 200
+
+
+def encode_beliefs(context: NodeContext) -> bytes:
+    """Returns all that this balancer follows, with its revisions."""
+    bare = {
+        kind: {
+            'as_of': follower.as_of,
+            'objects': [
+                [item.name, item.revision, item.content]
+                for item in follower.objects.values()
+            ],
+        }
+        for kind, follower in context.followers.items()
+    }
+    return json.dumps(bare).encode()
+
+
+def adopt_beliefs(context: NodeContext, octets: bytes) -> list[str]:
+    """Takes what is newer in a peer's beliefs; returns which kinds were.
+
+    Raises ValueError, TypeError or KeyError for what is no such answer.
+    """
+    bare: dict[str, Any] = json.loads(octets)
+    adopted = []
+    for kind, follower in context.followers.items():
+        objects = {
+            name: StoreItem(name, revision, content)
+            for name, revision, content in bare[kind]['objects']
+        }
+        if follower.adopt(objects, int(bare[kind]['as_of'])):
+            adopted.append(kind)
+    return adopted
+
+
+class PeerReader(Child):
+    """Asks peers while the store is lost and something is missing.
+
+    A balancer that starts during an outage serves by what a peer knows; one
+    that the store turns away learns of a manifest that others have.
+    """
+
+    def __init__(self, context: NodeContext) -> None:
+        """Starts with the loop."""
+        super().__init__(channel='peer-reader')
+        self._context = context
+        self._exchange: HttpExchange | None = None
+        self._until_s = 0.0
+        Ticker('peer-reader', TICK_PERIOD_S, self.read_due).register(self)
+
+    def release(self) -> None:
+        """Breaks off what runs."""
+        self._break_off()
+
+    def read_due(self) -> None:
+        """Asks one peer when it is time to."""
+        now_s = self._context.clock()
+        if self._exchange is not None:
+            if now_s < self._until_s:
+                return
+            self._break_off()
+        peers = self._peers()
+        if self._context.needs_peers and peers:
+            self._ask(self._context.random.choice(peers), now_s)
+
+    def _peers(self) -> list[str]:
+        settings = self._context.settings
+        return [ip for ip in settings.seeds if ip != settings.ip]
+
+    def _ask(self, ip: str, now_s: float) -> None:
+        def on_end(answer: PlainAnswer | None, _was_sent: bool) -> None:
+            self._exchange = None
+            if answer is not None and answer.status == STATUS_OK:
+                self._take(ip, answer.body)
+
+        self._until_s = now_s + CALL_TIMEOUT_S
+        self._exchange = HttpExchange(
+            f'beliefs-{ip}-{now_s}',
+            Endpoint(ip, PAGES_PORT),
+            PlainRequest('GET', BELIEFS_PATH),
+            on_end,
+        )
+        self._exchange.register(self)
+        self._exchange.start()
+
+    def _take(self, ip: str, octets: bytes) -> None:
+        events = self._context.events
+        try:
+            adopted = adopt_beliefs(self._context, octets)
+        except (ValueError, TypeError, KeyError) as error:
+            events.note('beliefs-unreadable', peer=ip, detail=repr(error))
+            return
+        events.note_urgently('beliefs-adopted', peer=ip, kinds=adopted)
+
+    def _break_off(self) -> None:
+        if self._exchange is not None:
+            self._exchange.break_off()
+            self._exchange = None
--- a/cumindrift/fleet/supervisor.py
+++ b/cumindrift/fleet/supervisor.py
@@ -9,6 +9,7 @@
 from cumindrift.fleet.directory import AgentEntry
 from cumindrift.fleet.follower import KindFollower, Objects
 from cumindrift.fleet.link import StoreLink
+from cumindrift.fleet.peering import PeerReader
 from cumindrift.fleet.remover import Remover
 from cumindrift.outcome import Refused
 from cumindrift.platform.documents import (
@@ -40,7 +41,13 @@
         context.link = link
         return link
 
-    return Supervisor('fleet', [ChildSpec('store-link', build_link)])
+    return Supervisor(
+        'fleet',
+        [
+            ChildSpec('store-link', build_link),
+            ChildSpec('peer-reader', lambda: PeerReader(context)),
+        ],
+    )
 
 
 def follow_store(context: NodeContext) -> None:
--- a/cumindrift/node.py
+++ b/cumindrift/node.py
@@ -17,7 +17,7 @@
 from cumindrift.fleet.supervisor import build_fleet
 from cumindrift.outcome import Done, Refused
 from cumindrift.platform.node_file import PATH_VARIABLE, read_node_file
-from cumindrift.steering.metrics import serve_metrics
+from cumindrift.steering.pages import serve_pages
 from cumindrift.steering.supervisor import node_roles
 from cumindrift.supervision import ChildSpec, Supervisor
 
@@ -72,7 +72,7 @@
         [
             ChildSpec('steering', build_steering),
             ChildSpec('fleet', lambda: build_fleet(context)),
-            ChildSpec('metrics', lambda: serve_metrics(context)),
+            ChildSpec('pages', lambda: serve_pages(context)),
             ChildSpec('lifecycle', lambda: Lifecycle(context, file.reload)),
         ],
     )
--- a/cumindrift/steering/director.py
+++ b/cumindrift/steering/director.py
@@ -57,8 +57,8 @@
     def verify_agents(self) -> None:
         """Asks the store for the list of agents as it is now."""
 
-    def verify_manifest(self) -> None:
-        """Asks the store for the manifest as it is now."""
+    def verify_manifest(self, version: int) -> None:
+        """Asks for the manifest, of which that version is in force."""
 
 
 @define(slots=True, eq=False, repr=False)
@@ -115,7 +115,7 @@
             )
         load.take(news.load, now_s)
         if news.manifest_version > self.directory.manifest.version:
-            self.outlet.verify_manifest()
+            self.outlet.verify_manifest(news.manifest_version)
         takers.get(news.kind.name)(self, ip, news, now_s)
 
     def on_agents_verified(self, asked_s: float) -> None:
--- a/cumindrift/steering/page.py
+++ b/cumindrift/steering/page.py
@@ -1,4 +1,4 @@
-"""Pages that a node serves: readiness, heartbeats, metrics."""
+"""What a node serves over HTTP: readiness, heartbeats, metrics, beliefs."""
 
 from cumindrift.administration.answer import (
     HttpAnswer,
@@ -7,6 +7,7 @@
     answer_refusal,
 )
 from cumindrift.fleet.context import NodeContext
+from cumindrift.fleet.peering import encode_beliefs
 from cumindrift.fleet.supervisor import announce_agent
 from cumindrift.outcome import Refused
 from cumindrift.platform.documents import read_heartbeat
@@ -20,7 +21,7 @@
 
 readiness_routes: Registry[Route] = Registry('readiness route')
 heartbeat_routes: Registry[Route] = Registry('heartbeat route')
-metric_routes: Registry[Route] = Registry('metrics route')
+page_routes: Registry[Route] = Registry('page route')
 
 
 @readiness_routes.register('GET /cumindrift')
@@ -57,9 +58,17 @@
     return HttpAnswer.of_json(STATUS_OK, {})
 
 
-@metric_routes.register('GET /metrics')
+@page_routes.register('GET /metrics')
 def show_metrics(context: NodeContext, request: HttpRequest) -> HttpAnswer:
     """Answers with all metrics; what renders them is loaded when asked."""
     from cumindrift.exposition import CONTENT_TYPE, render_metrics  # noqa: PLC0415, WPS433
 
     return HttpAnswer(STATUS_OK, render_metrics(), CONTENT_TYPE)
+
+
+@page_routes.register('GET /beliefs')
+def show_beliefs(context: NodeContext, request: HttpRequest) -> HttpAnswer:
+    """Answers a balancer that the store does not answer."""
+    if not context.directory.is_complete:
+        return HttpAnswer.of_json(STATUS_UNAVAILABLE, {})
+    return HttpAnswer(STATUS_OK, encode_beliefs(context))
--- a/cumindrift/steering/port.py
+++ b/cumindrift/steering/port.py
@@ -87,8 +87,10 @@
         """Asks the store for the list of agents as it is now."""
         verify_kind(self._context, AGENT_KIND)
 
-    def verify_manifest(self) -> None:
-        """Asks the store for the manifest as it is now."""
+    def verify_manifest(self, version: int) -> None:
+        """Asks for the manifest, of which that version is in force."""
+        context = self._context
+        context.heard_version = max(context.heard_version, version)
         verify_kind(self._context, MANIFEST_KIND)
 
 
--- a/features/builders/node.py
+++ b/features/builders/node.py
@@ -189,7 +189,7 @@
         """Counts."""
         self.agent_lists += 1
 
-    def verify_manifest(self) -> None:
+    def verify_manifest(self, version: int) -> None:
         """Counts."""
         self.manifests += 1
 
--- a/features/node_store.feature
+++ b/features/node_store.feature
@@ -87,6 +87,21 @@
       | {"ip": 7, "data_centre": "a", "service": "b"}    |
       | {"ip": "10.1.0.9", "data_centre": "a"}           |
 
+  Scenario: A balancer that starts while the store is lost takes what a peer knows
+    Given a balancer with manifest 4, and one that has read nothing
+    And the store does not answer the second
+    Then the second asks peers
+    When the second takes what the first knows
+    Then manifest 4 is in force
+    And the second follows on from the revision of the first
+    And it does not ask peers
+
+  Scenario: What a peer knows is not taken when it is older
+    Given a balancer with manifest 4, and one that has read nothing
+    When the second has read a later revision
+    And the second takes what the first knows
+    Then nothing was taken
+
   Scenario: A manifest that cannot be read changes nothing
     Given a balancer with manifest 4
     When the store shows a manifest without routes
--- a/features/steps/node_store_steps.py
+++ b/features/steps/node_store_steps.py
@@ -14,7 +14,14 @@
 )
 from cumindrift.fleet.follower import KindFollower
 from cumindrift.fleet.link import RunningCall, StoreLink
-from cumindrift.fleet.supervisor import take_agents, take_manifest
+from cumindrift.fleet.peering import adopt_beliefs, encode_beliefs
+from cumindrift.fleet.supervisor import (
+    AGENT_KIND,
+    follow_store,
+    take_agents,
+    take_manifest,
+)
+from cumindrift.platform.documents import EVACUATION_KIND, MANIFEST_KIND
 from features.builders.node_store import (
     ENTRY,
     GATHER_S,
@@ -267,3 +274,54 @@
 @then('manifest 4 is in force')
 def step_in_force(context):
     assert context.node.directory.manifest.version == 4
+
+
+@given('a balancer with manifest 4, and one that has read nothing')
+def step_two(context):
+    step_manifest(context)
+    context.first, context.node = context.node, make_context()
+    for node in (context.first, context.node):
+        follow_store(node)
+    first = context.first.followers
+    first[MANIFEST_KIND].adopt({'main': StoreItem('main', 20, MANIFEST)}, 31)
+    first[AGENT_KIND].adopt({'side-1': StoreItem('side-1', 3, ENTRY)}, 32)
+    first[EVACUATION_KIND].adopt({}, 33)
+
+
+@given('the store does not answer the second')
+def step_not_answered(context):
+    call = StoreCall(CallVerb.LIST, 'config')
+    context.node.health.note(AnswerTag.LOST, call, 10.0)
+
+
+@when('the second has read a later revision')
+def step_later(context):
+    for follower in context.node.followers.values():
+        follower.adopt({}, 40)
+
+
+@when('the second takes what the first knows')
+def step_takes(context):
+    octets = encode_beliefs(context.first)
+    context.adopted = adopt_beliefs(context.node, octets)
+
+
+@then('the second asks peers')
+def step_asks_peers(context):
+    assert context.node.needs_peers
+
+
+@then('it does not ask peers')
+def step_asks_no_peers(context):
+    assert not context.node.needs_peers
+
+
+@then('the second follows on from the revision of the first')
+def step_follows_on(context):
+    call = context.node.followers[AGENT_KIND].next_call(10.0)
+    assert (call.verb, call.revision) == (CallVerb.WATCH, 32), call
+
+
+@then('nothing was taken')
+def step_nothing_taken(context):
+    assert not context.adopted
