--- a/cumindrift/fleet/context.py
+++ b/cumindrift/fleet/context.py
@@ -12,6 +12,7 @@
 from cumindrift.fleet.directory import Directory
 from cumindrift.fleet.follower import KindFollower
 from cumindrift.fleet.link import CallSource, StoreHealth, StoreLink
+from cumindrift.fleet.recorder import FlowRecorder
 from cumindrift.fleet.remover import Remover
 from cumindrift.fleet.settings import NodeSettings
 
@@ -32,6 +33,7 @@
     directory: Directory = field(factory=Directory)
     followers: dict[str, KindFollower] = field(factory=dict)
     announcer: Announcer | None = None
+    recorder: FlowRecorder | None = None
     remover: Remover | None = None
     # Set while the link runs.
     link: StoreLink | None = None
@@ -55,7 +57,7 @@
     @property
     def sources(self) -> tuple[CallSource, ...]:
         """Returns all that asks the store."""
-        own = (self.announcer, self.remover)
+        own = (self.announcer, self.recorder, self.remover)
         return (*self.followers.values(), *filter(None, own))
 
     @property
--- /dev/null
+++ b/cumindrift/fleet/recorder.py
@@ -0,0 +1,126 @@
+"""Keeps a record of an agent's long flows in the store, across a power loss."""
+
+from base64 import b64decode, b64encode
+from collections.abc import Callable
+from random import Random
+from struct import Struct
+from typing import Any
+
+from attrs import define, field
+
+from cumindrift.code import ResultCode
+from cumindrift.fleet.call import AnswerTag, CallVerb, StoreAnswer, StoreCall
+from cumindrift.fleet.follower import BACKOFF_MAX_S
+from cumindrift.outcome import Done, Refused
+
+PERIOD_S = 4.0
+# A reset is believed if it is this near to the client's acknowledgement.
+RESET_WINDOW = 76_800
+_ENTRY = Struct('>12sI')
+
+
+@define(frozen=True, slots=True, repr=False)
+class FlowRecord:
+    """The long flows of one incarnation of a target.
+
+    `flows` maps a flow's key to the client's last acknowledgement.
+    """
+
+    incarnation: int
+    flows: dict[bytes, int] = field(factory=dict)
+
+    def encode(self) -> dict[str, Any]:
+        """Returns the content of the record's object."""
+        octets = b''.join(_ENTRY.pack(*entry) for entry in self.flows.items())
+        return {
+            'incarnation': self.incarnation,
+            'flows': b64encode(octets).decode('ascii'),
+        }
+
+    def is_near(self, other: 'FlowRecord') -> bool:
+        """Tells whether resets made from `other` would still do."""
+        if self.incarnation != other.incarnation:
+            return False
+        if self.flows.keys() != other.flows.keys():
+            return False
+        return all(
+            abs(acknowledged - other.flows[key]) < RESET_WINDOW / 4
+            for key, acknowledged in self.flows.items()
+        )
+
+
+def decode_record(content: Any) -> Done | Refused:
+    """Reads a record, which another writer may have left."""
+    try:
+        octets = b64decode(content['flows'], validate=True)
+        whole = len(octets) // _ENTRY.size * _ENTRY.size
+        flows = dict(_ENTRY.iter_unpack(octets[:whole]))
+        return Done(FlowRecord(int(content['incarnation']), flows))
+    except (KeyError, TypeError, ValueError) as error:
+        return Refused(ResultCode.WRONG_TYPE, 'flows', repr(error))
+
+
+@define(slots=True, eq=False, repr=False)
+class FlowRecorder:
+    """Reads the record that an earlier process left, then writes its own.
+
+    Used by the agent's store link. A record is written only when it says
+    something new, and never before the earlier one was read.
+    """
+
+    kind: str
+    name: str
+    random: Random
+    take_record: Callable[[Any], None]
+    make_record: Callable[[], FlowRecord]
+    failure_count: int = 0
+    is_leaving: bool = False
+    _has_read: bool = False
+    _is_there: bool = False
+    _written: FlowRecord = field(factory=lambda: FlowRecord(0))
+    _asked: FlowRecord | None = None
+    _due_s: float = 0.0
+    _is_running: bool = False
+
+    def next_call(self, now_s: float) -> StoreCall | None:
+        """Returns the call that is due now, if any."""
+        if self._is_running or now_s < self._due_s:
+            return None
+        if self.is_leaving:
+            return self._start(CallVerb.REMOVE) if self._is_there else None
+        if not self._has_read:
+            return self._start(CallVerb.READ)
+        self._due_s = now_s + PERIOD_S * (1 + self.random.random() / 4)
+        record = self.make_record()
+        if record.is_near(self._written):
+            return None
+        self._asked = record
+        verb = CallVerb.REPLACE if self._is_there else CallVerb.CREATE
+        return self._start(verb, record.encode())
+
+    def on_answer(self, answer: StoreAnswer, now_s: float) -> None:
+        """Takes the answer to the last call."""
+        self._is_running = False
+        if answer.tag in {AnswerTag.DONE, AnswerTag.CONFLICT}:
+            self.failure_count = 0
+            self._is_there = not self.is_leaving
+            self._take(answer)
+        elif answer.tag is AnswerTag.ABSENT:
+            self.failure_count = 0
+            self._is_there = False
+            self._has_read = True
+        else:
+            self.failure_count += 1
+            self._due_s = now_s + BACKOFF_MAX_S * (1 + self.random.random())
+
+    def _take(self, answer: StoreAnswer) -> None:
+        if not self._has_read:
+            self._has_read = True
+            if answer.items:
+                self.take_record(answer.items[0].content)
+        elif self._asked is not None and answer.tag is AnswerTag.DONE:
+            self._written = self._asked
+
+    def _start(self, verb: CallVerb, content: Any = None) -> StoreCall:
+        self._is_running = True
+        return StoreCall(verb, self.kind, self.name, content=content)
--- a/cumindrift/fleet/remover.py
+++ b/cumindrift/fleet/remover.py
@@ -14,22 +14,21 @@
     repeated: the next balancer that finds the entry useless asks again.
     """
 
-    kind: str
     failure_count: int = 0
-    _wanted: dict[str, int] = field(factory=dict)
+    _wanted: dict[tuple[str, str], int] = field(factory=dict)
     _is_running: bool = False
 
-    def remove(self, name: str, revision: int) -> None:
-        """Wants the object gone, if it still has that revision."""
-        self._wanted[name] = revision
+    def remove(self, kind: str, name: str, revision: int) -> None:
+        """Wants the object gone, if it still has that revision (0: any)."""
+        self._wanted[kind, name] = revision
 
     def next_call(self, now_s: float) -> StoreCall | None:
         """Returns the call that is due now, if any."""
         if self._is_running or not self._wanted:
             return None
-        name, revision = self._wanted.popitem()
+        (kind, name), revision = self._wanted.popitem()
         self._is_running = True
-        return StoreCall(CallVerb.REMOVE, self.kind, name, revision)
+        return StoreCall(CallVerb.REMOVE, kind, name, revision)
 
     def on_answer(self, answer: StoreAnswer, now_s: float) -> None:
         """Takes the answer to the last call, whatever it is."""
--- a/cumindrift/fleet/supervisor.py
+++ b/cumindrift/fleet/supervisor.py
@@ -1,5 +1,6 @@
 """The fleet supervisor: what is followed in the store, and by whom."""
 
+from collections.abc import Callable
 from functools import partial
 from typing import Any
 
@@ -10,6 +11,11 @@
 from cumindrift.fleet.follower import KindFollower, Objects
 from cumindrift.fleet.link import StoreLink
 from cumindrift.fleet.peering import PeerReader
+from cumindrift.fleet.recorder import (
+    FlowRecord,
+    FlowRecorder,
+    decode_record,
+)
 from cumindrift.fleet.remover import Remover
 from cumindrift.outcome import Refused
 from cumindrift.platform.documents import (
@@ -20,8 +26,9 @@
 )
 from cumindrift.supervision import ChildSpec, Supervisor
 
-# Our own kind: one object an agent.
+# Our own kinds: an agent's entry, and the record of its flows.
 AGENT_KIND = 'cumindrift-agents'
+RECORD_KIND = 'cumindrift-flows'
 MANIFEST_GATHER_S = 0.3
 AGENT_GATHER_S = 0.5
 # A list to prove that a flow has no holder is asked this seldom.
@@ -63,7 +70,7 @@
             context.random,
             gather_s,
         )
-    context.remover = Remover(AGENT_KIND)
+    context.remover = Remover()
 
 
 def announce_agent(context: NodeContext, service: str) -> None:
@@ -84,11 +91,36 @@
     )
 
 
+def record_flows(
+    context: NodeContext,
+    take: Callable[[FlowRecord], None],
+    make: Callable[[float], FlowRecord],
+) -> None:
+    """Makes an agent keep a record of its flows in the store."""
+
+    def take_content(content: Any) -> None:
+        outcome = decode_record(content)
+        if isinstance(outcome, Refused):
+            name = context.settings.name
+            _note_unreadable(context, RECORD_KIND, name, outcome)
+        else:
+            take(outcome.content)
+
+    context.recorder = FlowRecorder(
+        RECORD_KIND,
+        context.settings.name,
+        context.random,
+        take_content,
+        lambda: make(context.clock()),
+    )
+
+
 def remove_agent(context: NodeContext, name: str) -> None:
     """Takes away the entry of an agent that is gone for good."""
     item = context.followers[AGENT_KIND].objects.get(name)
     if item is not None:
-        context.remover.remove(name, item.revision)
+        context.remover.remove(AGENT_KIND, name, item.revision)
+        context.remover.remove(RECORD_KIND, name, 0)
 
 
 def verify_kind(context: NodeContext, kind: str) -> None:
--- a/cumindrift/platform/packet.py
+++ b/cumindrift/platform/packet.py
@@ -32,9 +32,8 @@
     return _read(octets, octets[18:24] + octets[12:18])
 
 
-def make_reset(packet: FlowPacket) -> bytes:
-    """Returns a reset to the client that sent `packet`."""
-    key = packet.flow_key
+def make_reset(key: bytes, acknowledged: int) -> bytes:
+    """Returns a reset to the flow's client, near what it acknowledged."""
     return _HEAD.pack(
         0,
         0,
@@ -45,7 +44,7 @@
         key[8:12],
         int.from_bytes(key[:2]),
         key[2:6],
-        packet.acknowledged,
+        acknowledged,
         0,
     )
 
--- a/cumindrift/steering/agent.py
+++ b/cumindrift/steering/agent.py
@@ -7,6 +7,7 @@
 
 from cumindrift.code import ResultCode
 from cumindrift.event import EventLog
+from cumindrift.fleet.recorder import FlowRecord
 from cumindrift.metric import (
     FLOW_DECISIONS,
     OPEN_HOPS,
@@ -39,6 +40,9 @@
 # A target returns a packet that it does not hold at once.
 RETURN_WITHIN_S = 0.05
 EXPIRE_PERIOD_S = 5.0
+# Only flows that last are recorded, and so many at the most.
+RECORDED_AFTER_S = 2.0
+RECORDED_MAX = 2000
 # An agent that no balancer has called for this long may have lost its entry.
 UNCALLED_S = 10.0
 
@@ -52,8 +56,8 @@
     def answer(self, flow_key: bytes, octets: bytes) -> None:
         """Sends a packet to the flow's client."""
 
-    def reset(self, packet: FlowPacket) -> None:
-        """Resets the flow of a client's packet."""
+    def reset(self, flow_key: bytes, acknowledged: int) -> None:
+        """Resets a flow, near what its client acknowledged last."""
 
     def carry(self, ip: str, carried: Carried) -> None:
         """Sends a carried packet to another agent."""
@@ -102,6 +106,7 @@
     _check_s: float = 0.0
     _called_s: float = 0.0
     _manifest_version: int = 0
+    _record: FlowRecord | None = None
 
     def on_carried(self, carried: Carried, now_s: float) -> None:
         """Takes a client's packet from a balancer or another agent."""
@@ -142,6 +147,7 @@
         target = self.target
         earlier = target.beat
         effect = target.on_beat(beat, now_s)
+        self._settle_record()
         if effect is not BeatEffect.SAME:
             self.events.note(
                 'target-beat',
@@ -157,6 +163,27 @@
             )
         return effect
 
+    def on_record(self, record: FlowRecord) -> None:
+        """Takes the record of flows that an earlier process left."""
+        self._record = record
+        self._settle_record()
+
+    def make_record(self, now_s: float) -> FlowRecord:
+        """Returns the flows that are worth a reset after a power loss.
+
+        A client learns of it before it sends on a flow that is dead, so
+        that a request which must not be repeated is not lost there.
+        """
+        flows = {
+            key: flow.client_packet.acknowledged
+            for key, flow in self.table.flows.items()
+            if flow.is_established
+            and flow.client_packet is not None
+            and now_s - flow.opened_s >= RECORDED_AFTER_S
+        }
+        latest = list(flows.items())[-RECORDED_MAX:]
+        return FlowRecord(self.target.incarnation, dict(latest))
+
     def on_left(self, target_id: str) -> None:
         """Takes a target's word that it ends."""
         has_left = self.target.on_left(target_id)
@@ -206,6 +233,26 @@
             self._check_s = now_s + CHECK_PERIOD_S
             self.outlet.check_target()
 
+    def _settle_record(self) -> None:
+        """Resets the recorded flows if their target started again since."""
+        record = self._record
+        incarnation = self.target.incarnation
+        if record is None or not incarnation:
+            return
+        self._record = None
+        is_ended = incarnation not in {0, record.incarnation}
+        self.events.note_urgently(
+            'record-read',
+            recorded=record.incarnation,
+            incarnation=incarnation,
+            flow_count=len(record.flows),
+            is_ended=is_ended,
+        )
+        for key, acknowledged in record.flows.items():
+            if is_ended and key not in self.table.flows:
+                self._note('flow-reset', key, reason='recorded')
+                self.outlet.reset(key, acknowledged)
+
     def _take_open(
         self,
         carried: Carried,
@@ -327,7 +374,7 @@
                 expected=carried.incarnation,
                 code=int(ResultCode.OTHER_INCARNATION),
             )
-            self.outlet.reset(packet)
+            self.outlet.reset(packet.flow_key, packet.acknowledged)
             self._tell(carried.origin_ip, FrameKind.ENDED, packet.flow_key)
         elif is_known:
             self._return(carried, packet, is_certain=target.is_gone)
@@ -387,7 +434,7 @@
                 code=int(ResultCode.FLOW_LOST),
             )
             if not packet.is_reset:
-                self.outlet.reset(packet)
+                self.outlet.reset(packet.flow_key, packet.acknowledged)
             self._tell(flow.origin_ip, FrameKind.ENDED, key)
         else:
             self._tell(
@@ -508,7 +555,7 @@
                 incarnation=self.target.incarnation,
                 code=int(ResultCode.FLOW_LOST),
             )
-            self.outlet.reset(last)
+            self.outlet.reset(key, last.acknowledged)
         elif flow.opening is not None:
             self._pass_on(flow.opening, flow.client_packet, Refusal.GONE.value)
         self._tell(flow.origin_ip, FrameKind.ENDED, key)
--- a/cumindrift/steering/director.py
+++ b/cumindrift/steering/director.py
@@ -48,8 +48,8 @@
     def carry(self, ip: str, carried: Carried) -> None:
         """Sends a client's packet to an agent."""
 
-    def reset(self, packet: FlowPacket) -> None:
-        """Resets the flow of a client's packet."""
+    def reset(self, flow_key: bytes, acknowledged: int) -> None:
+        """Resets a flow, near what its client acknowledged last."""
 
     def remove_agent(self, name: str) -> None:
         """Takes the entry of an agent out of the store."""
@@ -137,7 +137,7 @@
                     agents=len(agent_ips),
                     code=int(ResultCode.NO_SUCH_FLOW),
                 )
-                self.outlet.reset(search.packet)
+                self.outlet.reset(key, search.packet.acknowledged)
 
     def tick(self, now_s: float) -> bool:
         """Lets time pass; True while an open waits for an answer."""
@@ -266,7 +266,7 @@
             tried=len(hint.tried) if hint else 0,
             manifest=self.directory.manifest.version,
         )
-        self.outlet.reset(packet)
+        self.outlet.reset(packet.flow_key, packet.acknowledged)
 
     def _retry_open(self, key: bytes, hint: Hint, now_s: float) -> None:
         """Tries the next agent: the last one has left a SYN unanswered."""
--- a/cumindrift/steering/port.py
+++ b/cumindrift/steering/port.py
@@ -27,7 +27,6 @@
     encode_carried,
     encode_news,
 )
-from cumindrift.steering.packet import FlowPacket
 from cumindrift.supervision import Child
 
 CHECK_TIMEOUT_S = 0.5
@@ -57,9 +56,9 @@
         """Sends news of a flow to a balancer."""
         self.send(encode_news(news), (ip, self._port))
 
-    def reset(self, packet: FlowPacket) -> None:
-        """Resets the flow of a client's packet."""
-        self.answer(packet.flow_key, make_reset(packet))
+    def reset(self, flow_key: bytes, acknowledged: int) -> None:
+        """Resets a flow, near what its client acknowledged last."""
+        self.answer(flow_key, make_reset(flow_key, acknowledged))
 
     def answer(self, flow_key: bytes, octets: bytes) -> None:
         """Sends a packet to a flow's client."""
--- a/cumindrift/steering/supervisor.py
+++ b/cumindrift/steering/supervisor.py
@@ -5,7 +5,11 @@
 
 from cumindrift.administration.http import HttpServer
 from cumindrift.fleet.context import NodeContext
-from cumindrift.fleet.supervisor import announce_agent, follow_store
+from cumindrift.fleet.supervisor import (
+    announce_agent,
+    follow_store,
+    record_flows,
+)
 from cumindrift.platform.packet import (
     describe,
     read_from_client,
@@ -93,6 +97,7 @@
     )
     context.core = core
     announce_agent(context, place.service)
+    record_flows(context, core.on_record, core.make_record)
     context.begin_leave = partial(_withdraw, context, core)
     context.may_leave = _after_withdrawal(context)
 
@@ -149,6 +154,7 @@
     target = core.target
     if target.has_left or target.is_gone:
         context.announcer.want(None)
+        context.recorder.is_leaving = True
 
 
 def _after_withdrawal(context: NodeContext) -> Callable[[float], bool]:
--- a/features/builders/node.py
+++ b/features/builders/node.py
@@ -161,9 +161,9 @@
         """Keeps a packet for the client."""
         self.answered.append(octets)
 
-    def reset(self, packet: Any) -> None:
+    def reset(self, key: bytes, _acknowledged: int) -> None:
         """Keeps the key of a flow that was reset."""
-        self.resets.append(packet.flow_key)
+        self.resets.append(key)
 
     def carry(self, ip: str, message: Carried) -> None:
         """Keeps a packet for an agent."""
--- a/features/node_agent.feature
+++ b/features/node_agent.feature
@@ -122,6 +122,46 @@
     And a SYN arrives
     Then the target got 0 packets
 
+  Scenario: Flows recorded before a power loss are reset when the target is another
+    Given an agent whose target serves
+    And an open flow
+    When 3 s pass
+    Then the record names the flow
+    When the agent and its target lose power
+    And the agent reads the record
+    And the target starts with a later incarnation
+    Then the client's flow is reset
+
+  Scenario: Flows recorded before the agent was killed live on with their target
+    Given an agent whose target serves
+    And an open flow
+    When 3 s pass
+    And the agent is killed
+    And the agent reads the record
+    Then no flow is reset
+
+  Scenario: A flow that is open again is not reset by a record
+    Given an agent whose target serves
+    And an open flow
+    When 3 s pass
+    And the agent and its target lose power
+    And the target starts with a later incarnation
+    And the flow is opened again
+    And the agent reads the record
+    Then no flow is reset
+
+  Scenario Outline: Records of other writers reset nothing
+    Given a record with the content <content>
+    Then the record is refused
+
+    Examples:
+      | content                             |
+      | null                                |
+      | {}                                  |
+      | {"incarnation": 1, "flows": 7}      |
+      | {"incarnation": "x", "flows": ""}   |
+      | {"incarnation": 1, "flows": "*"}    |
+
   Scenario: A draining target keeps its flows
     Given an agent whose target serves
     And an open flow
--- a/features/steps/node_agent_steps.py
+++ b/features/steps/node_agent_steps.py
@@ -1,7 +1,11 @@
 """Steps of the feature about an agent on the users' platform."""
 
+import json
+
 from behave import given, then, when
 
+from cumindrift.fleet.recorder import decode_record
+from cumindrift.outcome import Refused
 from cumindrift.platform.packet import make_reset, read_from_client
 from cumindrift.steering.frame import FrameKind
 from features.builders.node import (
@@ -159,6 +163,51 @@
     context.effect = context.bench.beat(is_draining=True, **fields)
 
 
+@then('the record names the flow')
+def step_recorded(context):
+    record = context.bench.core.make_record(context.bench.now_s)
+    assert record.flows == {flow_key(): 7001}, record.flows
+    assert record.incarnation == 1_000_000
+
+
+@when('the agent and its target lose power')
+def step_power(context):
+    content = context.bench.core.make_record(context.bench.now_s).encode()
+    context.record = decode_record(content).content
+    context.bench = AgentBench(is_first_start=False, started_ms=1_400_000)
+
+
+@when('the agent is killed')
+def step_killed(context):
+    step_power(context)
+    context.bench.beat()
+
+
+@when('the agent reads the record')
+def step_reads(context):
+    context.bench.core.on_record(context.record)
+
+
+@when('the target starts with a later incarnation')
+def step_later(context):
+    context.bench.beat(incarnation=1_500_000, target_id='i-2')
+
+
+@when('the flow is opened again')
+def step_opened_again(context):
+    context.bench.open_flow()
+
+
+@given('a record with the content {content}')
+def step_strange_record(context, content):
+    context.outcome = decode_record(json.loads(content))
+
+
+@then('the record is refused')
+def step_record_refused(context):
+    assert isinstance(context.outcome, Refused), context.outcome
+
+
 @then('the target got {count:d} packet')
 @then('the target got {count:d} packets')
 def step_got(context, count):
@@ -240,4 +289,7 @@
 @then('its reset is the example of a reset')
 def step_example_reset(context):
     assert context.packet.is_open
-    assert make_reset(context.packet) == EXAMPLE_RESET
+    assert (
+        make_reset(context.packet.flow_key, context.packet.acknowledged)
+        == EXAMPLE_RESET
+    )
