--- a/cumindrift/fleet/recorder.py
+++ b/cumindrift/fleet/recorder.py
@@ -75,7 +75,8 @@
     make_record: Callable[[], FlowRecord]
     failure_count: int = 0
     is_leaving: bool = False
-    _has_read: bool = False
+    # Nobody left a record when the whole system starts for the first time.
+    has_read: bool = False
     _is_there: bool = False
     _written: FlowRecord = field(factory=lambda: FlowRecord(0))
     _asked: FlowRecord | None = None
@@ -88,7 +89,7 @@
             return None
         if self.is_leaving:
             return self._start(CallVerb.REMOVE) if self._is_there else None
-        if not self._has_read:
+        if not self.has_read:
             return self._start(CallVerb.READ)
         self._due_s = now_s + PERIOD_S * (1 + self.random.random() / 4)
         record = self.make_record()
@@ -108,14 +109,14 @@
         elif answer.tag is AnswerTag.ABSENT:
             self.failure_count = 0
             self._is_there = False
-            self._has_read = True
+            self.has_read = True
         else:
             self.failure_count += 1
             self._due_s = now_s + BACKOFF_MAX_S * (1 + self.random.random())
 
     def _take(self, answer: StoreAnswer) -> None:
-        if not self._has_read:
-            self._has_read = True
+        if not self.has_read:
+            self.has_read = True
             if answer.items:
                 self.take_record(answer.items[0].content)
         elif self._asked is not None and answer.tag is AnswerTag.DONE:
--- a/cumindrift/fleet/supervisor.py
+++ b/cumindrift/fleet/supervisor.py
@@ -112,6 +112,7 @@
         context.random,
         take_content,
         lambda: make(context.clock()),
+        has_read=context.is_first_start,
     )
 
 
--- a/cumindrift/steering/agent.py
+++ b/cumindrift/steering/agent.py
@@ -40,6 +40,9 @@
 # A target returns a packet that it does not hold at once.
 RETURN_WITHIN_S = 0.05
 EXPIRE_PERIOD_S = 5.0
+# New flows go elsewhere, or wait at the balancer, while a target has this
+# much work for each of its slots: more would be late.
+WORK_PER_SLOT = 2
 # Only flows that last are recorded, and so many at the most.
 RECORDED_AFTER_S = 2.0
 RECORDED_MAX = 2000
@@ -284,7 +287,11 @@
             digest = service_digest(beat.service)
             if digest != carried.service_digest:
                 return Refusal.OTHER_SERVICE
-        return target.refusal(None, carried.cold_rate, now_s)
+        refusal = target.refusal(None, carried.cold_rate, now_s)
+        work_count = self.table.busy_count + len(self._opening)
+        if refusal is None and work_count >= target.slots * WORK_PER_SLOT:
+            return Refusal.FULL
+        return refusal
 
     def _pass_on(
         self,
--- a/features/node_agent.feature
+++ b/features/node_agent.feature
@@ -34,6 +34,11 @@
     And the target bounces it
     Then the SYN goes to 10.1.0.14 with 1 candidate left
 
+  Scenario: A target with as much work as it can do in time gets no new flow
+    Given an agent whose target serves
+    When 20 SYNs arrive, one each 0 s
+    Then the target got 14 packets
+
   Scenario: A copy of a SYN follows the first
     Given an agent whose target serves
     When a SYN arrives
--- a/features/steps/node_agent_steps.py
+++ b/features/steps/node_agent_steps.py
@@ -94,11 +94,13 @@
 def step_syns(context, count, gap_s):
     bench = context.bench
     context.taken_s = []
+    rate = getattr(context, 'rate', 0.0)
     for number in range(count):
         before = len(bench.outlet.delivered)
-        bench.receive(opening(40001 + number, cold_rate=context.rate))
+        bench.receive(opening(40001 + number, cold_rate=rate))
         if len(bench.outlet.delivered) > before:
             context.taken_s.append(bench.now_s)
+        if len(bench.outlet.delivered) > before and gap_s:
             bench.from_target(target_packet(SYN | ACK, port=40001 + number))
         bench.now_s += gap_s
 
