--- a/cumindrift/fleet/call.py
+++ b/cumindrift/fleet/call.py
@@ -18,7 +18,7 @@
     REMOVE = 'remove'
 
 
-@define(frozen=True, slots=True)
+@define(frozen=True, slots=True, eq=False, repr=False)
 class StoreCall:
     """One question to the store.
 
@@ -52,7 +52,7 @@
     MALFORMED = 'malformed'
 
 
-@define(frozen=True, slots=True)
+@define(frozen=True, slots=True, eq=False, repr=False)
 class StoreItem:
     """One object of the store; `content` is what its writer put there."""
 
@@ -62,7 +62,7 @@
     is_removed: bool = False
 
 
-@define(frozen=True, slots=True)
+@define(frozen=True, slots=True, eq=False, repr=False)
 class StoreAnswer:
     """What a call gave; `as_of` is the store's revision."""
 
--- a/cumindrift/node.py
+++ b/cumindrift/node.py
@@ -1,14 +1,13 @@
 """The daemon on the users' platform: one node, by its settings file."""
 
+from cumindrift import quickstart as _quickstart  # isort: split
+
 import gc
 import os
 import sys
 from time import monotonic
 
 from attrs import define, field
-
-from cumindrift import quickstart as _quickstart  # isort: split
-
 from circuits.core.pollers import EPoll
 
 from cumindrift.code import ResultCode
