--- a/cumindrift/event.py
+++ b/cumindrift/event.py
@@ -17,6 +17,8 @@
 LINES_PER_S = 200.0
 LINES_BURST = 1000.0
 WRITE_LINES_MAX = 64
+# How often a line tells how many others were dropped.
+DROPPED_PERIOD_S = 1.0
 
 
 @define(slots=True, eq=False, repr=False)
@@ -41,6 +43,7 @@
     _unsent: bytes = b''
     _allowance: float = LINES_BURST
     _refilled_s: float = 0.0
+    _tell_s: float = 0.0
 
     def note(self, event: str, **fields: Any) -> None:
         """Keeps one event for the next flush."""
@@ -49,6 +52,11 @@
             return
         self._waiting.append((time(), event, fields))
 
+    @property
+    def waiting_count(self) -> int:
+        """Returns how many lines wait for the reader."""
+        return len(self._waiting)
+
     def flush(self) -> None:
         """Writes what waits, as far as the reader takes it."""
         while self._unsent or self._waiting:
@@ -79,7 +87,9 @@
         LOG_LINES_DROPPED.inc()
 
     def _next_lines(self) -> bytes:
-        if self.dropped_count:
+        now_s = self.clock()
+        if self.dropped_count and now_s >= self._tell_s:
+            self._tell_s = now_s + DROPPED_PERIOD_S
             fields = {'count': self.dropped_count}
             self.dropped_count = 0
             self._waiting.append((time(), 'lines-dropped', fields))
--- a/cumindrift/fleet/recorder.py
+++ b/cumindrift/fleet/recorder.py
@@ -74,20 +74,30 @@
     take_record: Callable[[Any], None]
     make_record: Callable[[], FlowRecord]
     failure_count: int = 0
-    is_leaving: bool = False
     # Nobody left a record when the whole system starts for the first time.
     has_read: bool = False
+    _is_leaving: bool = False
     _is_there: bool = False
     _written: FlowRecord = field(factory=lambda: FlowRecord(0))
     _asked: FlowRecord | None = None
     _due_s: float = 0.0
     _is_running: bool = False
 
+    @property
+    def has_left(self) -> bool:
+        """Tells whether nothing of this agent is left in the store."""
+        return self._is_leaving and not self._is_there
+
+    def leave(self) -> None:
+        """Wants the record gone: its target has ended."""
+        self._is_leaving = True
+        self._due_s = 0.0
+
     def next_call(self, now_s: float) -> StoreCall | None:
         """Returns the call that is due now, if any."""
         if self._is_running or now_s < self._due_s:
             return None
-        if self.is_leaving:
+        if self._is_leaving:
             return self._start(CallVerb.REMOVE) if self._is_there else None
         if not self.has_read:
             return self._start(CallVerb.READ)
@@ -104,7 +114,7 @@
         self._is_running = False
         if answer.tag in {AnswerTag.DONE, AnswerTag.CONFLICT}:
             self.failure_count = 0
-            self._is_there = not self.is_leaving
+            self._is_there = not self._is_leaving
             self._take(answer)
         elif answer.tag is AnswerTag.ABSENT:
             self.failure_count = 0
--- a/cumindrift/steering/supervisor.py
+++ b/cumindrift/steering/supervisor.py
@@ -100,6 +100,7 @@
     record_flows(context, core.on_record, core.make_record)
     context.begin_leave = partial(_withdraw, context, core)
     context.may_leave = _after_withdrawal(context)
+    context.on_settings = core.target.take_settings
 
     def build() -> Supervisor:
         return Supervisor(
@@ -154,7 +155,7 @@
     target = core.target
     if target.has_left or target.is_gone:
         context.announcer.want(None)
-        context.recorder.is_leaving = True
+        context.recorder.leave()
 
 
 def _after_withdrawal(context: NodeContext) -> Callable[[float], bool]:
@@ -163,7 +164,10 @@
     def may_leave(now_s: float) -> bool:
         asked_s.append(now_s)
         is_late = now_s - asked_s[0] >= WITHDRAWAL_S
-        return context.announcer.is_written or is_late
+        has_left = context.recorder.has_left
+        is_kept = context.announcer.wanted is not None
+        is_done = context.announcer.is_written and has_left
+        return is_kept or is_done or is_late
 
     return may_leave
 
--- a/cumindrift/steering/target.py
+++ b/cumindrift/steering/target.py
@@ -6,7 +6,7 @@
 from attrs import define, field
 
 from cumindrift.address import Endpoint
-from cumindrift.fleet.settings import NodeBounds
+from cumindrift.fleet.settings import NodeBounds, NodeSettings
 
 # Beats that a target may miss before it counts as silent.
 BEATS_MISSED_MAX = 3
@@ -88,6 +88,11 @@
         """Returns how many requests the target works on at once."""
         return max(self.beat.slots, 1) if self.beat else 1
 
+    def take_settings(self, settings: NodeSettings) -> None:
+        """Takes bounds that have changed."""
+        self.bounds = settings.bounds
+        self.heartbeat_s = settings.heartbeat_s
+
     def on_beat(self, beat: Heartbeat, now_s: float) -> BeatEffect:
         """Takes a heartbeat unless it is older than what is known."""
         known = self.beat
--- /dev/null
+++ b/features/steps/node_life_steps.py
@@ -0,0 +1,213 @@
+"""Steps of the feature about the life of a node."""
+
+import json
+from pathlib import Path
+from tempfile import mkdtemp
+
+from behave import given, then, when
+
+from cumindrift.administration.answer import HttpRequest
+from cumindrift.event import EventLog
+from cumindrift.fleet.call import AnswerTag, CallVerb, StoreAnswer, StoreItem
+from cumindrift.fleet.context import NodeContext
+from cumindrift.node import SettingsFile
+from cumindrift.steering.page import show_ready
+from cumindrift.steering.supervisor import prepare_agent, prepare_balancer
+from features.builders.node import AgentBench, node_file
+
+
+def start_process(context, prepare):
+    """Builds the context of a node from a settings file."""
+    context.path = Path(mkdtemp()) / 'local.toml'
+    context.path.write_text(node_file(), 'utf-8')
+    context.file = SettingsFile(str(context.path))
+    start = context.file.read().content
+    context.now_s = 100.0
+    context.lines = []
+    node = NodeContext(start.settings, True, clock=lambda: context.now_s)
+    node.events.write = lambda octets: keep_lines(context, octets)
+    context.file.context = context.node = node
+    prepare(node)
+
+
+def keep_lines(context, octets):
+    """Reads all that is written to the log."""
+    context.lines.extend(map(json.loads, octets.splitlines()))
+    return len(octets)
+
+
+def answer_all(context, tag):
+    """Answers every call that is due; returns the calls."""
+    calls = []
+    for source in context.node.sources:
+        call = source.next_call(context.now_s)
+        if call is not None:
+            calls.append(call)
+            item = StoreItem(call.name, 5, call.content)
+            source.on_answer(StoreAnswer(tag, (item,)), context.now_s)
+    return calls
+
+
+@given("an agent's process with its settings file")
+def step_agent(context):
+    start_process(context, prepare_agent)
+
+
+@given("a balancer's process")
+def step_balancer(context):
+    start_process(context, prepare_balancer)
+    context.node.directory.has_agents = True
+
+
+@given('its entry and its record are in the store')
+def step_in_store(context):
+    bench = AgentBench(now_s=context.now_s)
+    core = bench.core = context.node.core
+    core.outlet = bench.outlet
+    bench.beat()
+    bench.open_flow()
+    context.now_s += 3
+    while answer_all(context, AnswerTag.DONE):
+        context.now_s += 5
+
+
+@when('the file says that addresses are free after {seconds:d} s')
+def step_change(context, seconds):
+    text = node_file().replace('grace_s = 6', f'addr_reuse_s = {seconds}')
+    context.path.write_text(text, 'utf-8')
+
+
+@when('the file is half written')
+def step_half(context):
+    context.path.write_text(node_file()[:100], 'utf-8')
+
+
+@when('the file is read again')
+def step_reload(context):
+    context.file.reload()
+
+
+@when('the target leaves and the process is asked to stop')
+def step_leave(context):
+    context.node.core.on_left('i-1')
+    step_stop(context)
+
+
+@when('the process is asked to stop')
+def step_stop(context):
+    context.node.is_stopping = True
+    context.node.begin_leave()
+
+
+@when('the store has removed both')
+def step_removed(context):
+    """The calls were answered in the step before."""
+
+
+@then("the bound of the target's state is {seconds:d} s")
+def step_bound(context, seconds):
+    assert context.node.core.target.bounds.address_reuse_s == seconds
+
+
+@then('the log says {event}')
+def step_log(context, event):
+    context.node.events.flush()
+    assert event in {line['event'] for line in context.lines}, context.lines
+
+
+@then('the process waits for the store')
+def step_waits(context):
+    assert not context.node.may_leave(context.now_s)
+
+
+@then('it asks to remove the entry and the record')
+def step_asks_removal(context):
+    calls = answer_all(context, AnswerTag.DONE)
+    assert {call.verb for call in calls} == {CallVerb.REMOVE}, calls
+    assert len(calls) == 2
+
+
+@then('the process may end')
+def step_may_end(context):
+    assert context.node.may_leave(context.now_s)
+
+
+@then('it asks the store for nothing')
+def step_nothing(context):
+    assert not answer_all(context, AnswerTag.DONE)
+
+
+@then('its readiness answers {status:d}')
+def step_readiness(context, status):
+    request = HttpRequest('GET', '/cumindrift/ready', {})
+    assert show_ready(context.node, request).status == status
+
+
+@then('the process may end after {low_s:g} s to {high_s:g} s')
+def step_ends_after(context, low_s, high_s):
+    start_s = context.now_s
+    while not context.node.may_leave(context.now_s):
+        context.now_s += 0.1
+    assert low_s <= context.now_s - start_s <= high_s
+
+
+def refuse(_octets):
+    """Stands for a pipe that is full."""
+    raise BlockingIOError
+
+
+@given('a log whose reader has stopped')
+def step_stopped_reader(context):
+    context.now_s = 0.0
+    context.events = EventLog('side-1', lambda: context.now_s, refuse)
+
+
+@given('a log whose reader reads everything')
+def step_reader(context):
+    context.now_s = 0.0
+    context.lines = []
+    context.events = EventLog(
+        'side-1',
+        lambda: context.now_s,
+        lambda octets: keep_lines(context, octets),
+    )
+
+
+@when('{count:d} events are noted in 1 s')
+def step_events(context, count):
+    for number in range(count):
+        context.now_s += 1 / count
+        context.events.note('flow-opened', number=number)
+        if number % 100 == 0:
+            context.events.flush()
+    context.events.flush()
+
+
+@when('the reader reads again')
+def step_reads_again(context):
+    context.lines = []
+    context.events.write = lambda octets: keep_lines(context, octets)
+    context.events.flush()
+
+
+@then('at most {count:d} lines wait')
+def step_wait(context, count):
+    assert context.events.waiting_count <= count
+
+
+@then('writing them took no attempt that blocks')
+def step_no_block(context):
+    assert context.events.dropped_count > 0
+
+
+@then('a line tells how many were dropped')
+def step_told(context):
+    (line,) = [
+        each for each in context.lines if each['event'] == 'lines-dropped'
+    ]
+    assert line['count'] > 10000
+
+
+@then('at most {count:d} lines were written')
+def step_written(context, count):
+    assert 0 < len(context.lines) <= count, len(context.lines)
