--- a/cumindrift/event.py
+++ b/cumindrift/event.py
@@ -39,7 +39,9 @@
     # Writes octets and returns how many it took; raises BlockingIOError.
     write: Callable[[bytes], int] | None = None
     dropped_count: int = 0
-    _waiting: deque[tuple[float, str, dict[str, Any]]] = field(factory=deque)
+    _waiting: deque[tuple[float, float, str, dict[str, Any]]] = field(
+        factory=deque
+    )
     _unsent: bytes = b''
     _allowance: float = LINES_BURST
     _refilled_s: float = 0.0
@@ -50,7 +52,7 @@
         if not self._allow():
             self._drop()
             return
-        self._waiting.append((time(), event, fields))
+        self._keep(event, fields)
 
     @property
     def waiting_count(self) -> int:
@@ -68,7 +70,7 @@
     def note_urgently(self, event: str, **fields: Any) -> None:
         """Keeps an event whatever the allowance: starts, stops, losses."""
         if len(self._waiting) < LINES_WAITING_MAX:
-            self._waiting.append((time(), event, fields))
+            self._keep(event, fields)
         else:
             self._drop()
 
@@ -82,6 +84,10 @@
         self._allowance -= 1
         return True
 
+    def _keep(self, event: str, fields: dict[str, Any]) -> None:
+        # The steady clock beside the time of day, which may jump.
+        self._waiting.append((time(), self.clock(), event, fields))
+
     def _drop(self) -> None:
         self.dropped_count += 1
         LOG_LINES_DROPPED.inc()
@@ -92,12 +98,13 @@
             self._tell_s = now_s + DROPPED_PERIOD_S
             fields = {'count': self.dropped_count}
             self.dropped_count = 0
-            self._waiting.append((time(), 'lines-dropped', fields))
+            self._keep('lines-dropped', fields)
         lines = []
         while self._waiting and len(lines) < WRITE_LINES_MAX:
-            at_s, event, fields = self._waiting.popleft()
+            at_s, up_s, event, fields = self._waiting.popleft()
             bare = {
                 'time': round(at_s, 4),
+                'up_s': round(up_s, 4),
                 'node': self.node,
                 'event': event,
                 **fields,
--- a/cumindrift/tool/command.py
+++ b/cumindrift/tool/command.py
@@ -14,12 +14,13 @@
 from cumindrift.tool import local as _local
 from cumindrift.tool import metric as _metric
 from cumindrift.tool import reading as _reading
+from cumindrift.tool import story as _story
 from cumindrift.tool import writing as _writing
 from cumindrift.tool.client import ApiClient, make_transport
 from cumindrift.tool.session import Options, Report, Session, commands
 
 # Importing a module of commands files them in the registry.
-COMMAND_MODULES = (_local, _metric, _reading, _writing)
+COMMAND_MODULES = (_local, _metric, _reading, _story, _writing)
 
 BALANCERS_VARIABLE = 'CUMINDRIFT_BALANCERS'
 TOKEN_VARIABLE = 'CUMINDRIFT_TOKEN'  # noqa: S105 - the name of a variable
--- /dev/null
+++ b/cumindrift/tool/story.py
@@ -0,0 +1,153 @@
+"""The story of one flow, out of the logs of many nodes."""
+
+import json
+import re
+from collections.abc import Iterable
+from pathlib import Path
+from statistics import median
+from typing import Any
+
+from attrs import define, field
+
+from cumindrift.code import ResultCode
+from cumindrift.outcome import Done, NotRun, Outcome, Refused
+from cumindrift.platform.node_file import read_node_file
+from cumindrift.tool.reading import table
+from cumindrift.tool.session import Report, Session, bad_use, commands
+
+# The bench puts its own time and the node's name before a line.
+_OBJECT = re.compile(r'\{.*\}\s*$')
+_COMMON = frozenset(('time', 'up_s', 'node', 'event', 'flow'))
+
+
+@define(frozen=True, slots=True)
+class LogLine:
+    """One event of a node; `at_s` is free of jumps of the time of day."""
+
+    at_s: float
+    node: str
+    event: str
+    fields: dict[str, Any]
+
+
+@define(slots=True)
+class NodeLog:
+    """The lines of one run of a node, with the clock of its machine."""
+
+    lines: list[dict[str, Any]] = field(factory=list)
+
+    def offset_s(self) -> float:
+        """Returns what to add to the steady clock for the time of day.
+
+        A clock that jumped is right for most of the lines.
+        """
+        return median(line['time'] - line['up_s'] for line in self.lines)
+
+
+def read_events(lines: Iterable[str]) -> list[dict[str, Any]]:
+    """Returns the events in log lines; anything else is passed over."""
+    events = []
+    for line in lines:
+        found = _OBJECT.search(line)
+        if found is None:
+            continue
+        try:
+            bare = json.loads(found.group())
+        except ValueError:
+            continue
+        if {'time', 'up_s', 'node', 'event'} <= bare.keys():
+            events.append(bare)
+    return events
+
+
+def order_events(events: Iterable[dict[str, Any]]) -> list[LogLine]:
+    """Puts the events of all nodes in one order, whatever clocks did."""
+    runs: dict[tuple[str, int], NodeLog] = {}
+    starts: dict[str, int] = {}
+    for bare in events:
+        node = bare['node']
+        if bare['event'] == 'node-started':
+            starts[node] = starts.get(node, 0) + 1
+        run = (node, starts.get(node, 0))
+        runs.setdefault(run, NodeLog()).lines.append(bare)
+    ordered = []
+    for (node, _), log in runs.items():
+        offset_s = log.offset_s()
+        ordered.extend(
+            LogLine(
+                bare['up_s'] + offset_s,
+                node,
+                bare['event'],
+                {key: bare[key] for key in bare if key != 'time'},
+            )
+            for bare in log.lines
+        )
+    return sorted(ordered, key=lambda line: line.at_s)
+
+
+def tell_story(events: Iterable[dict[str, Any]], flow: str) -> list[LogLine]:
+    """Returns the lines of one flow, or of all that a client's end names."""
+    return [
+        line
+        for line in order_events(events)
+        if str(line.fields.get('flow', '')).startswith(flow)
+    ]
+
+
+@commands.register('story')
+def show_story(session: Session, arguments: list[str]) -> Outcome:
+    """Tells what became of a flow, from the logs of all nodes.
+
+    Usage: story CLIENT-IP:PORT[>SERVICE-IP:PORT] LOG...
+    """
+    if len(arguments) < 2:
+        return bad_use('story')
+    flow, *paths = arguments
+    events = []
+    for path in paths:
+        try:
+            text = Path(path).read_text('utf-8', 'replace')
+        except OSError as error:
+            return NotRun(ResultCode.BAD_COMMAND, str(error))
+        events.extend(read_events(text.splitlines()))
+    lines = tell_story(events, flow)
+    if not lines:
+        return NotRun(ResultCode.BAD_COMMAND, f'no line names {flow}')
+    start_s = lines[0].at_s
+    rows = [
+        [f'{line.at_s - start_s:.3f}', line.node, line.event, _details(line)]
+        for line in lines
+    ]
+    bare = [
+        {'at_s': line.at_s, 'node': line.node, **line.fields} for line in lines
+    ]
+    return Done(Report(bare, table(rows, ['s', 'node', 'event', 'inputs'])))
+
+
+@commands.register('check-node')
+def check_node(session: Session, arguments: list[str]) -> Outcome:
+    """Checks a settings file as the users' platform writes it.
+
+    Usage: check-node FILE
+    """
+    if len(arguments) != 1:
+        return bad_use('check-node')
+    try:
+        text = Path(arguments[0]).read_text('utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        path = arguments[0]
+        return Refused(ResultCode.SETTINGS_FILE, path, str(error))
+    outcome = read_node_file(text)
+    if isinstance(outcome, Refused):
+        return outcome
+    settings = outcome.content.settings
+    bare = {'role': settings.role, 'name': settings.name}
+    return Done(Report(bare, f'{settings.role} {settings.name}: in order'))
+
+
+def _details(line: LogLine) -> str:
+    return ' '.join(
+        f'{key}={content}'
+        for key, content in line.fields.items()
+        if key not in _COMMON
+    )
