Work under way is counted once, and forgotten when nothing answers it

A client's data that is sent again after its answer marked the flow busy once more, and so did data whose answer a cut had eaten; nothing ever ended it. Change: only data beyond what the client had sent counts, and work that nothing answers counts for two seconds. Lines go to the pipe in pieces that it takes whole.

--- a/cumindrift/event.py
+++ b/cumindrift/event.py
@@ -16,7 +16,8 @@
 # Lines that a process writes in a second, and in a burst.
 LINES_PER_S = 200.0
 LINES_BURST = 1000.0
-WRITE_LINES_MAX = 64
+# A pipe takes this much as a whole or not at all.
+WRITE_BYTES_MAX = 4096
 # How often a line tells how many others were dropped.
 DROPPED_PERIOD_S = 1.0
 
@@ -99,18 +100,30 @@
             fields = {'count': self.dropped_count}
             self.dropped_count = 0
             self._keep('lines-dropped', fields)
-        lines = []
-        while self._waiting and len(lines) < WRITE_LINES_MAX:
-            at_s, up_s, event, fields = self._waiting.popleft()
-            bare = {
-                'time': round(at_s, 4),
-                'up_s': round(up_s, 4),
-                'node': self.node,
-                'event': event,
-                **fields,
-            }
-            lines.append(json.dumps(bare, default=str))
-        return '\n'.join([*lines, '']).encode()
+        octets = b''
+        while self._waiting:
+            line = self._line_of(*self._waiting[0])
+            if octets and len(octets) + len(line) > WRITE_BYTES_MAX:
+                break
+            self._waiting.popleft()
+            octets += line
+        return octets
+
+    def _line_of(
+        self,
+        at_s: float,
+        up_s: float,
+        event: str,
+        fields: dict[str, Any],
+    ) -> bytes:
+        bare = {
+            'time': round(at_s, 4),
+            'up_s': round(up_s, 4),
+            'node': self.node,
+            'event': event,
+            **fields,
+        }
+        return f'{json.dumps(bare, default=str)}\n'.encode()
 
     def _push(self) -> bool:
         write = self.write or write_to_stdout
--- a/cumindrift/steering/agent.py
+++ b/cumindrift/steering/agent.py
@@ -40,6 +40,7 @@
 # A target returns a packet that it does not hold at once.
 RETURN_WITHIN_S = 0.05
 EXPIRE_PERIOD_S = 5.0
+SETTLE_PERIOD_S = 0.5
 # New flows go elsewhere, or wait at the balancer, while a target has this
 # much work for each of its slots: more would be late.
 WORK_PER_SLOT = 2
@@ -104,6 +105,7 @@
     probes: dict[bytes, Probe] = field(factory=dict)
     _opening: dict[bytes, float] = field(factory=dict)
     _expire_s: float = 0.0
+    _settle_s: float = 0.0
     # Since when the target has left data without any packet; 0 for never.
     _unheard_s: float = 0.0
     _check_s: float = 0.0
@@ -224,6 +226,9 @@
         is_unheard = bool(self._unheard_s)
         if is_unheard and now_s - self._unheard_s >= DATA_SILENCE_S:
             self._check_target(now_s)
+        if now_s >= self._settle_s:
+            self._settle_s = now_s + SETTLE_PERIOD_S
+            self.table.settle(now_s)
         if now_s >= self._expire_s:
             self._expire_s = now_s + EXPIRE_PERIOD_S
             self.table.expire(now_s)
--- a/cumindrift/steering/flow.py
+++ b/cumindrift/steering/flow.py
@@ -3,9 +3,11 @@
 from attrs import define, field
 
 from cumindrift.steering.frame import Carried
-from cumindrift.steering.packet import FlowPacket, follows
+from cumindrift.steering.packet import FlowPacket, follows, is_after
 
 FLOWS_MAX = 65_536
+# Data that nothing answered for this long is no work under way.
+BUSY_MAX_S = 2.0
 # Weight of a new response time in the running mean.
 _MEAN_WEIGHT = 0.1
 _MS_PER_S = 1000
@@ -25,6 +27,8 @@
     target_sequence: int | None = None
     is_established: bool = False
     busy_since_s: float = 0.0
+    # Where the client's data has got to; less is sent again.
+    client_sequence: int | None = None
     # The client's last acknowledgement, which a reset must be near.
     client_packet: FlowPacket | None = None
     has_client_closed: bool = False
@@ -73,7 +77,14 @@
         flow.seen_s = now_s
         flow.client_packet = packet
         flow.has_client_closed = flow.has_client_closed or packet.is_last
-        if packet.payload_bytes and not flow.busy_since_s:
+        is_new = flow.client_sequence is None or is_after(
+            packet.sequence,
+            flow.client_sequence,
+        )
+        if not packet.payload_bytes or not is_new:
+            return
+        flow.client_sequence = packet.sequence
+        if not flow.busy_since_s:
             flow.busy_since_s = now_s
             self.busy_count += 1
 
@@ -93,6 +104,16 @@
         """Returns the running mean of the time to the first answer."""
         return int(self.response_s * _MS_PER_S)
 
+    def settle(self, now_s: float) -> None:
+        """Takes data that was never answered out of the work under way."""
+        if not self.busy_count:
+            return
+        for flow in self.flows.values():
+            since_s = flow.busy_since_s
+            if since_s and now_s - since_s > BUSY_MAX_S:
+                flow.busy_since_s = 0.0
+                self.busy_count -= 1
+
     def expire(self, now_s: float) -> int:
         """Forgets what may be forgotten; returns how many flows went."""
         expired = [
--- a/cumindrift/steering/packet.py
+++ b/cumindrift/steering/packet.py
@@ -27,6 +27,11 @@
     payload_bytes: int
 
 
+def is_after(sequence: int, earlier: int) -> bool:
+    """Tells whether a sequence number lies beyond an earlier one."""
+    return 0 < (sequence - earlier) % SEQUENCE_SPACE < SEQUENCE_SPACE // 2
+
+
 def follows(acknowledged: int, sequence: int) -> bool:
     """Tells whether an acknowledgement answers an opening `sequence`."""
     return (acknowledged - sequence) % SEQUENCE_SPACE <= 1
--- a/features/node_agent.feature
+++ b/features/node_agent.feature
@@ -39,6 +39,20 @@
     When 20 SYNs arrive, one each 0 s
     Then the target got 14 packets
 
+  Scenario: Data that is sent again is no new work
+    Given an agent whose target serves
+    And an open flow
+    When the target answers the data
+    And the same data arrives again
+    Then the target has 0 requests at work
+
+  Scenario: Data that is never answered counts as work for a while only
+    Given an agent whose target serves
+    And an open flow
+    Then the target has 1 requests at work
+    When 3 s pass
+    Then the target has 0 requests at work
+
   Scenario: A copy of a SYN follows the first
     Given an agent whose target serves
     When a SYN arrives
--- a/features/steps/node_agent_steps.py
+++ b/features/steps/node_agent_steps.py
@@ -110,6 +110,22 @@
     context.bench.from_target(target_packet(SYN | ACK))
 
 
+@when('the target answers the data')
+def step_answer_data(context):
+    octets = target_packet(ACK, sequence=7001, payload=b'200')
+    context.bench.from_target(octets)
+
+
+@when('the same data arrives again')
+def step_again(context):
+    context.bench.send_data(FrameKind.KNOWN)
+
+
+@then('the target has {count:d} requests at work')
+def step_at_work(context, count):
+    assert context.bench.core.table.busy_count == count
+
+
 @when('the target bounces it')
 def step_bounce(context):
     context.bench.from_target(bounced(context.bench.outlet.delivered[-1]))
