--- /dev/null
+++ b/features/steps/node_process_steps.py
@@ -0,0 +1,155 @@
+"""Steps of the feature about a node as a process of its own."""
+
+import json
+import os
+import subprocess
+import sys
+from http.client import HTTPConnection
+from pathlib import Path
+from signal import SIGTERM
+from socket import AF_INET, SOCK_DGRAM, socket
+from tempfile import mkdtemp
+from time import monotonic, sleep
+
+from behave import given, then, when
+
+from cumindrift.steering.frame import Carried, FrameKind, encode_carried
+from cumindrift.steering.frame import service_digest as digest_of
+from features.builders.node import (
+    ACK,
+    SERVICE,
+    SYN,
+    client_packet,
+    node_file,
+    target_packet,
+)
+
+NODE_IP = '127.0.9.13'
+PORTS = {'packets': 8172, 'outbound': 8162, 'ready': 8167, 'control': 8166}
+BEAT = {
+    'service': SERVICE,
+    'address': f'{NODE_IP}:8165',
+    'max_concurrency': 4,
+    'state': 'ready',
+    'warmup_left_ms': 0,
+    'sequence': 4,
+    'born': 1790000000000,
+}
+
+
+def start_node(context, text):
+    """Starts a node with a settings file; the scenario's end stops it."""
+    folder = Path(mkdtemp())
+    (folder / 'local.toml').write_text(text, 'utf-8')
+    context.log = folder / 'log'
+    environment = {
+        **os.environ,
+        'CUMINDRIFT_NODE_FILE': str(folder / 'local.toml'),
+    }
+    with context.log.open('wb') as log:
+        context.process = subprocess.Popen(
+            [sys.executable, '-m', 'cumindrift.node'],
+            stdout=log,
+            stderr=log,
+            env=environment,
+        )
+    context.add_cleanup(context.process.wait)
+    context.add_cleanup(context.process.kill)
+
+
+def call(method, port, path, body=None):
+    """Returns status and body of a call to the node, which may be starting."""
+    until_s = monotonic() + 5
+    while True:
+        connection = HTTPConnection(NODE_IP, port, timeout=5)
+        try:
+            connection.request(method, path, body)
+        except ConnectionRefusedError:
+            assert monotonic() < until_s, 'the node never listened'
+            sleep(0.02)
+            continue
+        answer = connection.getresponse()
+        return answer.status, answer.read().decode()
+
+
+def udp(context, ip, port):
+    """Returns a bound socket that the scenario's end closes."""
+    sock = socket(AF_INET, SOCK_DGRAM)
+    sock.bind((ip, port))
+    sock.settimeout(5)
+    context.add_cleanup(sock.close)
+    return sock
+
+
+@given("an agent's process on loopback")
+def step_start(context):
+    context.target = udp(context, NODE_IP, 8165)
+    start_node(context, node_file().replace('10.1.0.13', NODE_IP))
+
+
+@when('a node is started with a file that is half written')
+def step_half(context):
+    start_node(context, node_file()[:60])
+
+
+@then('its page {path} shows {text}')
+def step_page(context, path, text):
+    status, body = call('GET', 9102, path)
+    assert status == 200, (status, body)
+    assert text in body, body
+
+
+@then('it acknowledges a heartbeat of its target')
+def step_beat(context):
+    path = '/cumindrift/instances/i-1'
+    status, _ = call('PUT', PORTS['control'], path, json.dumps(BEAT))
+    assert status == 200, status
+
+
+@then('it refuses a heartbeat that cannot be read with {wanted:d}')
+def step_bad_beat(context, wanted):
+    path = '/cumindrift/instances/i-1'
+    status, _ = call('PUT', PORTS['control'], path, '{"service": 7}')
+    assert status == wanted, status
+
+
+@when('a SYN comes from a balancer')
+def step_syn(context):
+    context.balancer = udp(context, '127.0.9.10', 7720)
+    syn = client_packet(SYN)
+    carried = Carried(
+        FrameKind.OPEN,
+        '127.0.9.10',
+        syn,
+        service_digest=digest_of(SERVICE),
+    )
+    context.balancer.sendto(encode_carried(carried), (NODE_IP, 7720))
+    context.syn = syn
+
+
+@then('the target gets the SYN, and the balancer hears that it is held')
+def step_gets(context):
+    octets, _ = context.target.recvfrom(2000)
+    assert octets == context.syn
+    answer = target_packet(SYN | ACK)
+    context.target.sendto(answer, (NODE_IP, PORTS['outbound']))
+    news, _ = context.balancer.recvfrom(2000)
+    assert news[0] == FrameKind.HELD
+
+
+@when('the process is told to stop')
+def step_stop(context):
+    context.process.send_signal(SIGTERM)
+
+
+@then('it ends with exit code {code:d} within {seconds:d} s')
+def step_ends(context, code, seconds):
+    assert context.process.wait(seconds) == code
+
+
+@then('its log holds {events}')
+def step_log(context, events):
+    lines = context.log.read_text('utf-8').splitlines()
+    found = [json.loads(line)['event'] for line in lines]
+    missing = set(events.split(', ')) - set(found)
+    assert not missing, (missing, found)
