Closed flows are no load

The cost by which balancers choose counts flows. Change: closed flows are not counted, and kept 10 s for packets that are sent again.

--- a/cumindrift/steering/agent.py
+++ b/cumindrift/steering/agent.py
@@ -183,6 +183,7 @@
             key: flow.client_packet.acknowledged
             for key, flow in self.table.flows.items()
             if flow.is_established
+            and not flow.is_closed
             and flow.client_packet is not None
             and now_s - flow.opened_s >= RECORDED_AFTER_S
         }
@@ -515,7 +516,7 @@
             origin=opening.origin_ip,
             hops=opening.hop_count,
             manifest=opening.manifest_version,
-            flows=len(self.table.flows),
+            flows=self.table.open_count,
             busy=self.table.busy_count,
             response_ms=self.table.response_ms,
             beat_age_s=self._beat_age_s(),
@@ -584,7 +585,7 @@
         if not ip:
             return
         load = Load(
-            len(self.table.flows),
+            self.table.open_count,
             self.table.busy_count,
             self.table.response_ms,
             self.target.slots,
--- a/cumindrift/steering/flow.py
+++ b/cumindrift/steering/flow.py
@@ -6,6 +6,8 @@
 from cumindrift.steering.packet import FlowPacket, follows, is_after
 
 FLOWS_MAX = 65_536
+# A closed flow's end may send its last packet again for this long.
+CLOSED_KEPT_S = 10.0
 # Data that nothing answered for this long is no work under way.
 BUSY_MAX_S = 2.0
 # Weight of a new response time in the running mean.
@@ -32,6 +34,12 @@
     # The client's last acknowledgement, which a reset must be near.
     client_packet: FlowPacket | None = None
     has_client_closed: bool = False
+    has_target_closed: bool = False
+
+    @property
+    def is_closed(self) -> bool:
+        """Tells whether both ends have sent their last packet."""
+        return self.has_client_closed and self.has_target_closed
 
 
 @define(slots=True, eq=False, repr=False)
@@ -41,6 +49,8 @@
     idle_timeout_s: float
     lifetime_s: float
     flows: dict[bytes, Flow] = field(factory=dict)
+    # Flows that are not closed; closed ones stay for packets that come late.
+    open_count: int = 0
     busy_count: int = 0
     response_s: float = 0.0
 
@@ -48,7 +58,9 @@
         """Files a flow; the oldest goes when there are too many."""
         if len(self.flows) >= FLOWS_MAX:
             self.remove(next(iter(self.flows)))
+        self.remove(flow_key)
         self.flows[flow_key] = flow
+        self.open_count += 1
         return flow
 
     def remove(self, flow_key: bytes) -> Flow | None:
@@ -56,6 +68,8 @@
         flow = self.flows.pop(flow_key, None)
         if flow is not None and flow.busy_since_s:
             self.busy_count -= 1
+        if flow is not None and not flow.is_closed:
+            self.open_count -= 1
         return flow
 
     def accepts(self, flow: Flow, packet: FlowPacket) -> bool:
@@ -76,7 +90,9 @@
         """Takes a client's packet; data makes the flow busy."""
         flow.seen_s = now_s
         flow.client_packet = packet
-        flow.has_client_closed = flow.has_client_closed or packet.is_last
+        if packet.is_last and not flow.has_client_closed:
+            flow.has_client_closed = True
+            self.open_count -= flow.is_closed
         is_new = flow.client_sequence is None or is_after(
             packet.sequence,
             flow.client_sequence,
@@ -91,6 +107,9 @@
     def note_target(self, flow: Flow, packet: FlowPacket, now_s: float) -> None:
         """Takes a packet of the target; data ends a busy time."""
         flow.seen_s = now_s
+        if packet.is_last and not flow.has_target_closed:
+            flow.has_target_closed = True
+            self.open_count -= flow.is_closed
         if packet.is_answer:
             flow.target_sequence = packet.sequence
             flow.opening = None
@@ -119,13 +138,16 @@
         expired = [
             flow_key
             for flow_key, flow in self.flows.items()
-            if now_s - flow.seen_s > self.idle_timeout_s
+            if now_s - flow.seen_s > self._kept_s(flow)
             or now_s - flow.opened_s > self.lifetime_s * 2
         ]
         for flow_key in expired:
             self.remove(flow_key)
         return len(expired)
 
+    def _kept_s(self, flow: Flow) -> float:
+        return CLOSED_KEPT_S if flow.is_closed else self.idle_timeout_s
+
     def _observe(self, taken_s: float) -> None:
         if self.response_s:
             self.response_s += (taken_s - self.response_s) * _MEAN_WEIGHT
--- a/cumindrift/tool/story.py
+++ b/cumindrift/tool/story.py
@@ -100,7 +100,7 @@
 
     Usage: story CLIENT-IP:PORT[>SERVICE-IP:PORT] LOG...
     """
-    if len(arguments) < 2:
+    if len(arguments) < 2 or ':' not in arguments[0]:
         return bad_use('story')
     flow, *paths = arguments
     events = []
--- a/features/node_agent.feature
+++ b/features/node_agent.feature
@@ -53,6 +53,14 @@
     When 3 s pass
     Then the target has 0 requests at work
 
+  Scenario: A closed flow is no load, and its late packets still reach the target
+    Given an agent whose target serves
+    And an open flow
+    When both ends close it
+    Then the load told is 0 flows
+    When the client closes again
+    Then the target got 2 packets
+
   Scenario: A copy of a SYN follows the first
     Given an agent whose target serves
     When a SYN arrives
--- a/features/steps/node_agent_steps.py
+++ b/features/steps/node_agent_steps.py
@@ -11,9 +11,11 @@
 from features.builders.node import (
     ACK,
     BALANCER_IP,
+    FIN,
     SYN,
     AgentBench,
     bounced,
+    carried,
     client_packet,
     flow_key,
     opening,
@@ -110,6 +112,28 @@
     context.bench.from_target(target_packet(SYN | ACK))
 
 
+def close_client(context):
+    """Lets the client's last packet arrive."""
+    octets = client_packet(ACK | FIN, sequence=103, acknowledged=7001)
+    context.bench.receive(carried(octets, FrameKind.KNOWN))
+
+
+@when('both ends close it')
+def step_close(context):
+    close_client(context)
+    context.bench.from_target(target_packet(ACK | FIN, sequence=7001))
+
+
+@when('the client closes again')
+def step_close_again(context):
+    close_client(context)
+
+
+@then('the load told is {count:d} flows')
+def step_load(context, count):
+    assert context.bench.core.table.open_count == count
+
+
 @when('the target answers the data')
 def step_answer_data(context):
     octets = target_packet(ACK, sequence=7001, payload=b'200')
--- a/features/story.feature
+++ b/features/story.feature
@@ -24,6 +24,7 @@
     Examples:
       | line                          | code | text                          |
       | story                         | 6    | usage                         |
+      | story x /nowhere              | 6    | usage                         |
       | story 1.2.3.4:5 /nowhere      | 6    | No such file                  |
       | check-node (a good file)      | 0    | agent side-hel-a-1: in order  |
       | check-node (a bad file)       | 4    | WRONG_TYPE                    |
