A balancer that hears no agent tells the routers to let go

Change: not ready while two agents or more are silent for half a second and nobody was heard meanwhile.

--- a/cumindrift/fleet/context.py
+++ b/cumindrift/fleet/context.py
@@ -40,6 +40,8 @@
     # The core of the role, which HTTP routes ask.
     core: Any = None
     is_stopping: bool = False
+    # What the routers were told last.
+    was_ready: bool = False
     # The newest version of the manifest that a peer acts by.
     heard_version: int = 0
     # Hands changed settings to the core.
--- a/cumindrift/steering/director.py
+++ b/cumindrift/steering/director.py
@@ -36,6 +36,9 @@
 OPEN_GIVEN_UP_S = 1.0
 OPEN_AGAIN_S = 0.1
 PING_PERIOD_S = 0.3
+# A balancer that hears nobody for this long, though it asks, is cut off.
+CUT_OFF_S = 0.5
+CUT_OFF_AGENTS_MIN = 2
 # An agent that answered nothing for this long has no machine any more. It
 # enters itself again should it come back.
 GONE_AFTER_S = 20.0
@@ -118,6 +121,22 @@
             self.outlet.verify_manifest(news.manifest_version)
         takers.get(news.kind.name)(self, ip, news, now_s)
 
+    def is_cut_off(self, now_s: float) -> bool:
+        """Tells whether this balancer reaches no agent any more.
+
+        Routers that stop sending here let others serve meanwhile.
+        """
+        silent_count = sum(
+            0 < load.silent_since_s <= now_s - CUT_OFF_S
+            for load in self.loads.values()
+        )
+        heard_s = max(
+            (load.reported_s for load in self.loads.values()),
+            default=0.0,
+        )
+        is_unheard = now_s - heard_s >= CUT_OFF_S
+        return silent_count >= CUT_OFF_AGENTS_MIN and is_unheard
+
     def on_agents_verified(self, asked_s: float) -> None:
         """Takes the news that the list of agents is as of `asked_s`.
 
--- a/cumindrift/steering/page.py
+++ b/cumindrift/steering/page.py
@@ -27,7 +27,11 @@
 @readiness_routes.register('GET /cumindrift')
 def show_ready(context: NodeContext, request: HttpRequest) -> HttpAnswer:
     """Answers 200 while routers shall send packets here."""
-    is_ready = context.directory.is_complete and not context.is_stopping
+    is_serving = context.directory.is_complete and not context.is_stopping
+    is_ready = is_serving and not context.core.is_cut_off(context.clock())
+    if is_ready != context.was_ready:
+        context.was_ready = is_ready
+        context.events.note_urgently('readiness', is_ready=is_ready)
     status = STATUS_OK if is_ready else STATUS_UNAVAILABLE
     return HttpAnswer.of_json(status, {'ready': is_ready})
 
--- a/features/node_balancer.feature
+++ b/features/node_balancer.feature
@@ -41,6 +41,17 @@
     When 2 s pass
     Then 2 or more entries are removed
 
+  Scenario: A balancer that hears no agent is cut off, until it hears one
+    Given a balancer that knows 3 agents
+    And a flow that agent 2 holds
+    When 3 s pass
+    Then it is not cut off
+    When the client sends a SYN from another port
+    And 0.9 s pass
+    Then it is cut off
+    When agent 3 answers a ping
+    Then it is not cut off
+
   Scenario: When all agents refuse, the SYN waits for a moment and is then refused
     Given a balancer that knows 1 agents
     When the client sends a SYN
--- a/features/steps/node_balancer_steps.py
+++ b/features/steps/node_balancer_steps.py
@@ -62,6 +62,26 @@
     context.bench.packet(SYN, service_port=9)
 
 
+@when('the client sends a SYN from another port')
+def step_other_port(context):
+    context.bench.packet(SYN, port=40002)
+
+
+@when('agent {number:d} answers a ping')
+def step_pong(context, number):
+    context.bench.news(number, FrameKind.PONG)
+
+
+@then('it is cut off')
+def step_cut(context):
+    assert context.bench.core.is_cut_off(context.bench.now_s)
+
+
+@then('it is not cut off')
+def step_not_cut(context):
+    assert not context.bench.core.is_cut_off(context.bench.now_s)
+
+
 @when('the client sends data')
 def step_data(context):
     context.bench.packet(ACK, payload=b'GET', acknowledged=7001)
