--- a/cumindrift/context.py
+++ b/cumindrift/context.py
@@ -12,9 +12,9 @@
 from cumindrift.membership.gossip import MembershipCore
 from cumindrift.membership.member import Member, MemberState
 from cumindrift.membership.view import View
-from cumindrift.platform.client import StoreCore
-from cumindrift.platform.link import RemoteStore
-from cumindrift.platform.pace import Pace
+from cumindrift.objects.client import StoreCore
+from cumindrift.objects.link import RemoteStore
+from cumindrift.objects.pace import Pace
 from cumindrift.settings.distribution import Distribution
 from cumindrift.settings.feeder import Feeder
 from cumindrift.settings.process import ProcessSettings
--- a/cumindrift/fleet/link.py
+++ b/cumindrift/fleet/link.py
@@ -9,7 +9,7 @@
 from cumindrift.address import Endpoint
 from cumindrift.code import ResultCode
 from cumindrift.event import EventLog
-from cumindrift.exchange import PlainAnswer
+from cumindrift.exchange import HttpExchange, PlainAnswer
 from cumindrift.fleet.call import (
     AnswerTag,
     CallVerb,
@@ -17,7 +17,6 @@
     StoreCall,
 )
 from cumindrift.metric import STORE_CALLS
-from cumindrift.platform.exchange import HttpExchange
 from cumindrift.platform.objects import decode_answer, encode_call
 from cumindrift.supervision import Child
 from cumindrift.ticker import Ticker
--- a/cumindrift/fleet/peering.py
+++ b/cumindrift/fleet/peering.py
@@ -4,10 +4,9 @@
 from typing import Any
 
 from cumindrift.address import Endpoint
-from cumindrift.exchange import PlainAnswer, PlainRequest
+from cumindrift.exchange import HttpExchange, PlainAnswer, PlainRequest
 from cumindrift.fleet.call import StoreItem
 from cumindrift.fleet.context import NodeContext
-from cumindrift.platform.exchange import HttpExchange
 from cumindrift.supervision import Child
 from cumindrift.ticker import Ticker
 
--- /dev/null
+++ b/cumindrift/objects/__init__.py
@@ -0,0 +1,1 @@
+"""Objects supervisor: the product's own object API, and who feeds from it."""
--- a/cumindrift/platform/call.py
+++ b/cumindrift/objects/call.py
@@ -4,7 +4,7 @@
 
 from attrs import define
 
-from cumindrift.platform.store import StoredObject
+from cumindrift.objects.store import StoredObject
 
 
 @unique
--- a/cumindrift/platform/client.py
+++ b/cumindrift/objects/client.py
@@ -6,8 +6,7 @@
 from attrs import define, field
 
 from cumindrift.code import ResultCode
-from cumindrift.outcome import Done, NotRun, Outcome, Refused, Unknown
-from cumindrift.platform.call import (
+from cumindrift.objects.call import (
     AnswerKind,
     Call,
     CallAction,
@@ -16,8 +15,9 @@
     StartCall,
     StopCall,
 )
-from cumindrift.platform.pace import Pace
-from cumindrift.platform.store import StoreCallback, StoredObject
+from cumindrift.objects.pace import Pace
+from cumindrift.objects.store import StoreCallback, StoredObject
+from cumindrift.outcome import Done, NotRun, Outcome, Refused, Unknown
 
 CALL_TIMEOUT_S = 3.0
 # A read or write has this long in all, with its repeats.
--- a/cumindrift/platform/http.py
+++ b/cumindrift/objects/http.py
@@ -4,8 +4,8 @@
 from urllib.parse import quote
 
 from cumindrift.exchange import PlainAnswer, PlainRequest
-from cumindrift.platform.call import AnswerKind, Call, CallAnswer, CallKind
-from cumindrift.platform.store import ABSENT_VERSION, StoredObject
+from cumindrift.objects.call import AnswerKind, Call, CallAnswer, CallKind
+from cumindrift.objects.store import ABSENT_VERSION, StoredObject
 from cumindrift.registry import Registry
 
 PATH_PREFIX = '/objects/'
--- a/cumindrift/platform/link.py
+++ b/cumindrift/objects/link.py
@@ -5,16 +5,16 @@
 from attrs import define, field
 
 from cumindrift.address import Endpoint
-from cumindrift.platform.call import (
+from cumindrift.exchange import HttpExchange
+from cumindrift.objects.call import (
     Call,
     CallAction,
     CallKind,
     StartCall,
 )
-from cumindrift.platform.client import WATCH_WAIT_S, StoreCore
-from cumindrift.platform.exchange import HttpExchange
-from cumindrift.platform.http import PlainAnswer, decode_answer, encode_call
-from cumindrift.platform.store import StoreCallback
+from cumindrift.objects.client import WATCH_WAIT_S, StoreCore
+from cumindrift.objects.http import PlainAnswer, decode_answer, encode_call
+from cumindrift.objects.store import StoreCallback
 from cumindrift.supervision import Child
 from cumindrift.ticker import Ticker
 
--- a/cumindrift/platform/roster.py
+++ b/cumindrift/objects/roster.py
@@ -11,13 +11,13 @@
 
 from cumindrift.code import ResultCode
 from cumindrift.membership.member import Member, MemberState
-from cumindrift.outcome import Done, Outcome, Refused
-from cumindrift.platform.exchange import VALUE_BYTES_MAX
-from cumindrift.platform.store import (
+from cumindrift.objects.store import (
     ABSENT_VERSION,
+    VALUE_BYTES_MAX,
     ObjectStore,
     StoredObject,
 )
+from cumindrift.outcome import Done, Outcome, Refused
 
 KEY_PREFIX = 'roster/'
 WRITE_PERIOD_S = 5.0
--- a/cumindrift/platform/store.py
+++ b/cumindrift/objects/store.py
@@ -7,6 +7,7 @@
 
 from cumindrift.outcome import NotRun, Outcome, Refused
 
+VALUE_BYTES_MAX = 1024 * 1024
 # The version of an object that is not there yet.
 ABSENT_VERSION = 0
 
--- a/cumindrift/platform/supervisor.py
+++ b/cumindrift/objects/supervisor.py
@@ -1,15 +1,15 @@
-"""The platform supervisor and its list of children."""
+"""The objects supervisor and its list of children."""
 
 from cumindrift.address import Endpoint
 from cumindrift.context import Context
-from cumindrift.platform.link import PlatformLink
+from cumindrift.objects.link import PlatformLink
 from cumindrift.supervision import ChildSpec, Supervisor
 from cumindrift.ticker import Ticker
 
 TICK_PERIOD_S = 0.5
 
 
-def build_platform(context: Context) -> Supervisor:
+def build_objects(context: Context) -> Supervisor:
     """Returns the supervisor; restart strategy one-for-one.
 
     Without a platform address in the settings it has no children, and the
@@ -17,14 +17,14 @@
     """
     address = context.settings.platform
     if not address:
-        return Supervisor('platform', [])
+        return Supervisor('objects', [])
     endpoint = Endpoint.parse(address)
 
     def feed() -> None:
         context.feeder.tick(context.clock())
 
     return Supervisor(
-        'platform',
+        'objects',
         [
             ChildSpec('link', lambda: PlatformLink(context.store, endpoint)),
             ChildSpec('feeder', lambda: Ticker('feeder', TICK_PERIOD_S, feed)),
--- a/cumindrift/platform/__init__.py
+++ b/cumindrift/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Platform supervisor: the object API that keeps what must last."""
+"""The adapter of the users' platform: it translates and decides nothing."""
--- a/cumindrift/settings/feeder.py
+++ b/cumindrift/settings/feeder.py
@@ -8,9 +8,9 @@
 from xxhash import xxh3_64_intdigest
 
 from cumindrift.membership.member import Member, MemberState
+from cumindrift.objects.roster import RosterKeeper, roster_key
+from cumindrift.objects.store import ABSENT_VERSION, ObjectStore, StoredObject
 from cumindrift.outcome import Done, Outcome, Refused
-from cumindrift.platform.roster import RosterKeeper, roster_key
-from cumindrift.platform.store import ABSENT_VERSION, ObjectStore, StoredObject
 from cumindrift.settings.distribution import Distribution
 from cumindrift.settings.record import decode_record
 from cumindrift.settings.tree import Snapshot
--- a/cumindrift/settings/record.py
+++ b/cumindrift/settings/record.py
@@ -8,8 +8,8 @@
 
 from cumindrift.code import ResultCode
 from cumindrift.document import make_converter, parse_strict, structure
+from cumindrift.objects.store import VALUE_BYTES_MAX
 from cumindrift.outcome import Done, Refused
-from cumindrift.platform.exchange import VALUE_BYTES_MAX
 from cumindrift.settings.path import (
     ABSENT,
     Difference,
--- a/cumindrift/settings/snapshot.py
+++ b/cumindrift/settings/snapshot.py
@@ -11,8 +11,8 @@
 from cumindrift.code import ResultCode
 from cumindrift.document import make_converter, structure
 from cumindrift.invariant import require
+from cumindrift.objects.store import VALUE_BYTES_MAX
 from cumindrift.outcome import Done, Refused
-from cumindrift.platform.exchange import VALUE_BYTES_MAX
 from cumindrift.settings.tree import Snapshot, Tree
 
 DIGEST_BYTES = 16
--- a/cumindrift/settings/writer.py
+++ b/cumindrift/settings/writer.py
@@ -10,8 +10,8 @@
 from cumindrift.address import Endpoint
 from cumindrift.code import ResultCode
 from cumindrift.invariant import require
+from cumindrift.objects.store import ObjectStore, StoredObject
 from cumindrift.outcome import Done, NotRun, Outcome, Refused, Unknown
-from cumindrift.platform.store import ObjectStore, StoredObject
 from cumindrift.settings.edit import WriteRequest, check_owner, plan_write
 from cumindrift.settings.record import (
     HistoryEntry,
--- a/cumindrift/supervisor.py
+++ b/cumindrift/supervisor.py
@@ -3,8 +3,8 @@
 from cumindrift.administration.supervisor import build_administration
 from cumindrift.context import Context
 from cumindrift.membership.supervisor import build_membership
+from cumindrift.objects.supervisor import build_objects
 from cumindrift.peer import PeerPort
-from cumindrift.platform.supervisor import build_platform
 from cumindrift.role import roles
 from cumindrift.settings.supervisor import build_settings
 from cumindrift.supervision import ChildSpec, Supervisor
@@ -23,7 +23,7 @@
         [
             ChildSpec('peer', lambda: PeerPort(context)),
             ChildSpec('membership', lambda: build_membership(context)),
-            ChildSpec('platform', lambda: build_platform(context)),
+            ChildSpec('objects', lambda: build_objects(context)),
             ChildSpec('settings', lambda: build_settings(context)),
             ChildSpec('traffic', build_traffic),
             ChildSpec('administration', lambda: build_administration(context)),
--- a/features/builders/fleet.py
+++ b/features/builders/fleet.py
@@ -7,7 +7,7 @@
 
 from cumindrift.address import Endpoint
 from cumindrift.membership.member import Member, MemberState
-from cumindrift.platform.roster import RosterKeeper
+from cumindrift.objects.roster import RosterKeeper
 from cumindrift.registry import Registry
 from cumindrift.settings.message import SnapshotChunk
 from cumindrift.settings.snapshot import digest_of, pack_snapshot
--- a/features/builders/link.py
+++ b/features/builders/link.py
@@ -11,10 +11,10 @@
 from circuits.core.pollers import EPoll
 
 from cumindrift.address import Endpoint
+from cumindrift.objects.client import StoreCore
+from cumindrift.objects.link import PlatformLink, RemoteStore
+from cumindrift.objects.pace import Pace
 from cumindrift.outcome import Outcome
-from cumindrift.platform.client import StoreCore
-from cumindrift.platform.link import PlatformLink, RemoteStore
-from cumindrift.platform.pace import Pace
 from cumindrift.supervision import ChildSpec, Supervisor
 from standin.platform import PlatformModel, PlatformServer
 
--- a/features/builders/store.py
+++ b/features/builders/store.py
@@ -3,13 +3,13 @@
 from attrs import define, field
 
 from cumindrift.code import ResultCode
-from cumindrift.outcome import Done, NotRun, Refused, Unknown
-from cumindrift.platform.link import RemoteStore
-from cumindrift.platform.store import (
+from cumindrift.objects.link import RemoteStore
+from cumindrift.objects.store import (
     ABSENT_VERSION,
     StoreCallback,
     StoredObject,
 )
+from cumindrift.outcome import Done, NotRun, Refused, Unknown
 from lab.network import VirtualNetwork
 from lab.platform_fleet import client_of_model
 from standin.platform import PlatformFaults, PlatformModel
--- a/features/steps/roster_steps.py
+++ b/features/steps/roster_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 
 from cumindrift.membership.member import MemberState
-from cumindrift.platform.roster import (
+from cumindrift.objects.roster import (
     Roster,
     decode_roster,
     merge_members,
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -4,8 +4,7 @@
 
 from behave import given, then, when
 
-from cumindrift.platform.exchange import VALUE_BYTES_MAX
-from cumindrift.platform.store import StoredObject
+from cumindrift.objects.store import VALUE_BYTES_MAX, StoredObject
 from cumindrift.settings.path import ABSENT
 from cumindrift.settings.record import (
     HistoryEntry,
--- a/lab/platform_faults.py
+++ b/lab/platform_faults.py
@@ -7,8 +7,8 @@
 from attrs import define, field
 
 from cumindrift.invariant import require
+from cumindrift.objects.store import StoreCallback
 from cumindrift.outcome import Done, Outcome
-from cumindrift.platform.store import StoreCallback
 from cumindrift.registry import Registry
 from cumindrift.settings.feeder import SETTINGS_KEY
 from cumindrift.settings.tree import Snapshot
--- a/lab/platform_fleet.py
+++ b/lab/platform_fleet.py
@@ -10,11 +10,11 @@
 from cumindrift.address import Endpoint
 from cumindrift.membership.member import Member
 from cumindrift.membership.view import View
-from cumindrift.platform.call import Call, CallAction, CallKind, StartCall
-from cumindrift.platform.client import StoreCore
-from cumindrift.platform.http import PlainAnswer, decode_answer, encode_call
-from cumindrift.platform.link import RemoteStore
-from cumindrift.platform.pace import Pace
+from cumindrift.objects.call import Call, CallAction, CallKind, StartCall
+from cumindrift.objects.client import StoreCore
+from cumindrift.objects.http import PlainAnswer, decode_answer, encode_call
+from cumindrift.objects.link import RemoteStore
+from cumindrift.objects.pace import Pace
 from cumindrift.settings.distribution import Distribution
 from cumindrift.settings.feeder import SETTINGS_KEY, Feeder
 from cumindrift.settings.record import Record, encode_record
--- a/lab/settings_scale.py
+++ b/lab/settings_scale.py
@@ -22,7 +22,7 @@
 from cumindrift.administration.fact import gather_facts
 from cumindrift.administration.handover import judge_handover
 from cumindrift.membership.member import Member
-from cumindrift.platform.exchange import VALUE_BYTES_MAX
+from cumindrift.objects.store import VALUE_BYTES_MAX
 from cumindrift.settings.edit import WriteRequest, plan_write
 from cumindrift.settings.path import parse_path
 from cumindrift.settings.record import (
--- a/standin/platform.py
+++ b/standin/platform.py
@@ -18,8 +18,7 @@
 
 from cumindrift.address import Endpoint
 from cumindrift.exchange import PlainRequest
-from cumindrift.platform.exchange import VALUE_BYTES_MAX
-from cumindrift.platform.http import (
+from cumindrift.objects.http import (
     ETAG_HEADER,
     PATH_PREFIX,
     STATUS_CONFLICT,
@@ -31,6 +30,7 @@
     etag_of,
     version_of,
 )
+from cumindrift.objects.store import VALUE_BYTES_MAX
 from cumindrift.registry import Registry
 from cumindrift.supervision import Child, ChildSpec, Supervisor
 from cumindrift.ticker import Ticker
