A probe that came before its target proves nothing, and a guess is no reset

A search gave it a packet of a flow; nobody was there to return it; the target's first heartbeat came before the 50 ms were over, and the agent took the silence for a flow that its target holds. The balancer sent the flow there, the target returned it, and the agent reset a flow that lived elsewhere (FLOW). Ruled out: records (none was read), other incarnations (the agent was not sure), targets that are gone (none was checked). Change: silence counts only if the same target was known when the packet was given to it; and a flow that was adopted on silence goes back to a search when it bounces. Both tests fail without it.

--- a/cumindrift/steering/agent.py
+++ b/cumindrift/steering/agent.py
@@ -83,6 +83,8 @@
     carried: Carried
     packet: FlowPacket
     sent_s: float
+    # The target that was there to get the packet; 0 when none was known.
+    incarnation: int
 
 
 @define(slots=True, eq=False, repr=False)
@@ -392,7 +394,7 @@
         elif is_known:
             self._return(carried, packet, is_certain=target.is_gone)
         else:
-            probe = Probe(carried, packet, now_s)
+            probe = Probe(carried, packet, now_s, target.incarnation)
             self.probes.setdefault(packet.flow_key, probe)
             self.outlet.deliver(packet.octets)
 
@@ -436,7 +438,7 @@
         if packet.is_open:
             if flow.opening is not None:
                 self._pass_on(flow.opening, packet, Refusal.FULL.value)
-        elif flow.is_established:
+        elif flow.is_established and not flow.is_guessed:
             # The target held the flow and holds it no longer: it started
             # again, or gave the flow up.
             self._note(
@@ -490,6 +492,7 @@
         key = packet.flow_key
         opening = flow.opening
         started_s = flow.busy_since_s
+        flow.is_guessed = False
         self.table.note_target(flow, packet, now_s)
         if started_s and not flow.busy_since_s:
             RESPONSE_SECONDS.labels(self.service).observe(now_s - started_s)
@@ -528,8 +531,12 @@
         for key, probe in list(self.probes.items()):
             if now_s - probe.sent_s >= RETURN_WITHIN_S:
                 self.probes.pop(key)
-                if self.target.beat is not None and not self.target.is_gone:
-                    self._adopt(key, probe, now_s)
+                # A packet that came before the target proves nothing.
+                is_same = self.target.incarnation == probe.incarnation
+                was_there = probe.incarnation > 0
+                if is_same and was_there and not self.target.is_gone:
+                    flow = self._adopt(key, probe, now_s)
+                    flow.is_guessed = True
 
     def _pass_unanswered(self, now_s: float) -> None:
         """Passes on the SYNs that the target left without an answer."""
--- a/cumindrift/steering/flow.py
+++ b/cumindrift/steering/flow.py
@@ -28,6 +28,8 @@
     opening: Carried | None = None
     target_sequence: int | None = None
     is_established: bool = False
+    # Believed only because the target did not return a packet.
+    is_guessed: bool = False
     busy_since_s: float = 0.0
     # Where the client's data has got to; less is sent again.
     client_sequence: int | None = None
--- a/features/node_agent.feature
+++ b/features/node_agent.feature
@@ -95,6 +95,22 @@
     And 0.1 s pass
     Then the balancer is told HELD
 
+  Scenario: A packet that no target was there to get proves nothing
+    Given an agent that restarted, and no target yet
+    When data of an unknown flow arrives in a search
+    And the target starts within 0.02 s
+    And 0.1 s pass
+    Then the balancer is told nothing
+
+  Scenario: A flow that was adopted on silence alone is searched for, not reset
+    Given an agent that restarted beside its target
+    When data of an unknown flow arrives in a search
+    And 0.1 s pass
+    And data of the flow arrives
+    And the target bounces it
+    Then no flow is reset
+    And the balancer is told HELD, RETURNED
+
   Scenario: Data for another target's answer goes back
     Given an agent whose target serves
     When a SYN arrives
--- a/features/steps/node_agent_steps.py
+++ b/features/steps/node_agent_steps.py
@@ -70,6 +70,22 @@
     context.bench.beat()
 
 
+@given('an agent that restarted, and no target yet')
+def step_no_target(context):
+    context.bench = AgentBench(is_first_start=False, started_ms=2_000_000)
+
+
+@when('the target starts within 0.02 s')
+def step_starts(context):
+    context.bench.pass_time(0.02)
+    context.bench.beat(incarnation=2_000_500, sequence=1)
+
+
+@then('the balancer is told nothing')
+def step_told_nothing(context):
+    assert not context.bench.outlet.told, context.bench.outlet.news_kinds()
+
+
 @given('an open flow')
 def step_open_flow(context):
     context.bench.open_flow()
