--- a/features/node_agent.feature
+++ b/features/node_agent.feature
@@ -50,7 +50,7 @@
     Given an agent whose target serves
     And an open flow
     Then the target has 1 requests at work
-    When 3 s pass
+    When 3 s go by
     Then the target has 0 requests at work
 
   Scenario: A closed flow is no load, and its late packets still reach the target
@@ -72,7 +72,7 @@
   Scenario: A SYN that the target leaves unanswered goes on, and the target is checked
     Given an agent whose target serves
     When a SYN arrives
-    And 0.2 s pass
+    And 0.2 s go by
     Then the SYN goes to 10.1.0.14 with 1 candidate left
     And the target was checked once
 
@@ -92,20 +92,20 @@
   Scenario: An agent that restarted adopts a flow that the target keeps
     Given an agent that restarted beside its target
     When data of an unknown flow arrives in a search
-    And 0.1 s pass
+    And 0.1 s go by
     Then the balancer is told HELD
 
   Scenario: A packet that no target was there to get proves nothing
     Given an agent that restarted, and no target yet
     When data of an unknown flow arrives in a search
     And the target starts within 0.02 s
-    And 0.1 s pass
+    And 0.1 s go by
     Then the balancer is told nothing
 
   Scenario: A flow that was adopted on silence alone is searched for, not reset
     Given an agent that restarted beside its target
     When data of an unknown flow arrives in a search
-    And 0.1 s pass
+    And 0.1 s go by
     And data of the flow arrives
     And the target bounces it
     Then no flow is reset
@@ -156,19 +156,19 @@
     Given an agent whose target serves
     And an open flow
     When data of the flow arrives
-    And 0.4 s pass
+    And 0.4 s go by
     Then the target was checked once
 
   Scenario: A target whose address may serve another by now gets no new flow
     Given an agent whose target serves
-    When 1.95 s pass
+    When 1.95 s go by
     And a SYN arrives
     Then the target got 0 packets
 
   Scenario: Flows recorded before a power loss are reset when the target is another
     Given an agent whose target serves
     And an open flow
-    When 3 s pass
+    When 3 s go by
     Then the record names the flow
     When the agent and its target lose power
     And the agent reads the record
@@ -178,7 +178,7 @@
   Scenario: Flows recorded before the agent was killed live on with their target
     Given an agent whose target serves
     And an open flow
-    When 3 s pass
+    When 3 s go by
     And the agent is killed
     And the agent reads the record
     Then no flow is reset
@@ -186,7 +186,7 @@
   Scenario: A flow that is open again is not reset by a record
     Given an agent whose target serves
     And an open flow
-    When 3 s pass
+    When 3 s go by
     And the agent and its target lose power
     And the target starts with a later incarnation
     And the flow is opened again
@@ -226,7 +226,7 @@
 
   Scenario: An earlier start counts once the later one is silent
     Given an agent whose target serves
-    When 5 s pass
+    When 5 s go by
     And a heartbeat comes that says drains, of an earlier incarnation
     Then the heartbeat is new incarnation
 
--- a/features/node_balancer.feature
+++ b/features/node_balancer.feature
@@ -29,25 +29,25 @@
   Scenario: An agent that leaves a SYN unanswered is silent, and another gets it
     Given a balancer that knows 3 agents
     When the client sends a SYN
-    And 0.1 s pass
+    And 0.1 s go by
     Then the SYN went to 2 agents
     And 1 agent is pinged
 
   Scenario: An agent that answers nothing for long loses its entry
     Given a balancer that knows 3 agents
     When the client sends a SYN
-    And 19 s pass
+    And 19 s go by
     Then no entry is removed
-    When 2 s pass
+    When 2 s go by
     Then 2 or more entries are removed
 
   Scenario: A balancer that hears no agent is cut off, until it hears one
     Given a balancer that knows 3 agents
     And a flow that agent 2 holds
-    When 3 s pass
+    When 3 s go by
     Then it is not cut off
     When the client sends a SYN from another port
-    And 0.9 s pass
+    And 0.9 s go by
     Then it is cut off
     When agent 3 answers a ping
     Then it is not cut off
@@ -93,7 +93,7 @@
   Scenario: A search that found nobody starts again with the next packet
     Given a balancer that knows 3 agents
     When the client sends data
-    And 0.2 s pass
+    And 0.2 s go by
     And the client sends data
     Then 6 SEARCH frames were sent
 
--- a/features/steps/node_agent_steps.py
+++ b/features/steps/node_agent_steps.py
@@ -181,7 +181,7 @@
     context.bench.core.on_left('i-1')
 
 
-@when('{seconds:g} s pass')
+@when('{seconds:g} s go by')
 def step_pass(context, seconds):
     context.bench.pass_time(seconds)
 
--- a/features/steps/story_steps.py
+++ b/features/steps/story_steps.py
@@ -53,7 +53,7 @@
     context.story = tell_story(context.events, flow)
 
 
-@then('it is {events}')
+@then('the story is {events}')
 def step_is(context, events):
     found = [each.event for each in context.story]
     assert found == events.split(', '), found
