Steering in a folder for each role: cores split into parts of one job

Now `steering/agent/` holds station, opener, prober, vigil, recall and the core over them, `steering/balancer/` station, roll, placer, seeker and core; a role's folder is imported when it is played. `fleet/supervisor.py` gave what a balancer follows to `following.py`, what an agent writes to `announcing.py`. Decisions are as before: 136 scenarios of the nodes' features pass unchanged but for the names of attributes.

--- /dev/null
+++ b/cumindrift/fleet/announcing.py
@@ -0,0 +1,57 @@
+"""What an agent writes to the store: its entry, the record of its flows."""
+
+from collections.abc import Callable
+from typing import Any
+
+from cumindrift.fleet.announcer import Announcer
+from cumindrift.fleet.context import NodeContext
+from cumindrift.fleet.kind import AGENT_KIND, RECORD_KIND, note_unreadable
+from cumindrift.fleet.recorder import (
+    FlowRecord,
+    FlowRecorder,
+    decode_record,
+)
+from cumindrift.outcome import Refused
+
+
+def announce_agent(context: NodeContext, service: str) -> None:
+    """Makes the store's entry name this agent and its service."""
+    settings = context.settings
+    if context.announcer is None:
+        context.announcer = Announcer(
+            AGENT_KIND,
+            settings.name,
+            context.random,
+        )
+    context.announcer.want(
+        {
+            'ip': settings.ip,
+            'data_centre': settings.data_centre,
+            'service': service,
+        }
+    )
+
+
+def record_flows(
+    context: NodeContext,
+    take: Callable[[FlowRecord], None],
+    make: Callable[[float], FlowRecord],
+) -> None:
+    """Makes an agent keep a record of its flows in the store."""
+
+    def take_content(content: Any) -> None:
+        outcome = decode_record(content)
+        if isinstance(outcome, Refused):
+            name = context.settings.name
+            note_unreadable(context, RECORD_KIND, name, outcome)
+        else:
+            take(outcome.content)
+
+    context.recorder = FlowRecorder(
+        RECORD_KIND,
+        context.settings.name,
+        context.random,
+        take_content,
+        lambda: make(context.clock()),
+        has_read=context.is_first_start,
+    )
--- /dev/null
+++ b/cumindrift/fleet/kind.py
@@ -0,0 +1,24 @@
+"""Kinds of our own in the store, and entries that cannot be read."""
+
+from cumindrift.fleet.context import NodeContext
+from cumindrift.outcome import Refused
+
+# An agent's entry, and the record of its flows.
+AGENT_KIND = 'cumindrift-agents'
+RECORD_KIND = 'cumindrift-flows'
+
+
+def note_unreadable(
+    context: NodeContext,
+    kind: str,
+    name: str,
+    refused: Refused,
+) -> None:
+    """Logs an object of the store that another writer left."""
+    context.events.note(
+        'object-unreadable',
+        kind=kind,
+        name=name,
+        code=int(refused.code),
+        detail=refused.detail,
+    )
--- a/cumindrift/node.py
+++ b/cumindrift/node.py
@@ -16,8 +16,8 @@
 from cumindrift.fleet.supervisor import build_fleet
 from cumindrift.outcome import Done, Refused
 from cumindrift.platform.node_file import PATH_VARIABLE, read_node_file
-from cumindrift.steering.pages import serve_pages
-from cumindrift.steering.supervisor import node_roles
+from cumindrift.steering.page import serve_pages
+from cumindrift.steering.role import load_role
 from cumindrift.supervision import ChildSpec, Supervisor
 
 EXIT_DONE = 0
@@ -65,7 +65,7 @@
 
 def build_node(context: NodeContext, file: SettingsFile) -> Supervisor:
     """Returns the tree of one node; restart strategy one-for-one."""
-    build_steering = node_roles.get(context.settings.role)(context)
+    build_steering = load_role(context.settings.role)(context)
     return Supervisor(
         'root',
         [
--- a/cumindrift/platform/documents.py
+++ b/cumindrift/platform/documents.py
@@ -8,7 +8,7 @@
 from cumindrift.code import ResultCode
 from cumindrift.fleet.manifest import Manifest, Share
 from cumindrift.outcome import Done, Refused
-from cumindrift.steering.target import Heartbeat
+from cumindrift.steering.agent.target import Heartbeat
 
 # Where the operators' documents lie in the store.
 MANIFEST_KIND, MANIFEST_NAME = 'config', 'main'
--- /dev/null
+++ b/cumindrift/steering/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent beside a target: which packets its target gets."""
--- /dev/null
+++ b/cumindrift/steering/agent/page.py
@@ -0,0 +1,45 @@
+"""What an agent answers to the heartbeats of its target."""
+
+from cumindrift.administration.answer import (
+    HttpAnswer,
+    HttpRequest,
+    Route,
+    answer_refusal,
+)
+from cumindrift.fleet.announcing import announce_agent
+from cumindrift.fleet.context import NodeContext
+from cumindrift.outcome import Refused
+from cumindrift.platform.documents import read_heartbeat
+from cumindrift.registry import Registry
+from cumindrift.steering.page import STATUS_OK
+
+# The adapter's paths begin with the product's name.
+TARGETS_PATH = '/instances/'
+
+heartbeat_routes: Registry[Route] = Registry('heartbeat route')
+
+
+@heartbeat_routes.register('PUT /cumindrift')
+def take_beat(context: NodeContext, request: HttpRequest) -> HttpAnswer:
+    """Takes a heartbeat; the answer says that it is in force."""
+    target_id = request.rest.removeprefix(TARGETS_PATH)
+    outcome = read_heartbeat(target_id, request.body)
+    if isinstance(outcome, Refused):
+        context.events.note(
+            'beat-unreadable',
+            target=target_id,
+            code=int(outcome.code),
+            detail=outcome.detail,
+        )
+        return answer_refusal(outcome)
+    beat = outcome.content
+    context.core.on_beat(beat, context.clock())
+    announce_agent(context, context.core.station.target.beat.service)
+    return HttpAnswer.of_json(STATUS_OK, {})
+
+
+@heartbeat_routes.register('DELETE /cumindrift')
+def take_leave(context: NodeContext, request: HttpRequest) -> HttpAnswer:
+    """Takes a target's last word."""
+    context.core.on_left(request.rest.removeprefix(TARGETS_PATH))
+    return HttpAnswer.of_json(STATUS_OK, {})
--- /dev/null
+++ b/cumindrift/steering/agent/port.py
@@ -0,0 +1,134 @@
+"""Ports of an agent: frames of nodes, and the target's packets."""
+
+from errno import ECONNREFUSED, EINPROGRESS
+from socket import AF_INET, SO_ERROR, SOCK_STREAM, SOL_SOCKET, socket
+from time import time
+from typing import Any
+
+from circuits import Event, Timer, handler
+
+from cumindrift.address import Endpoint
+from cumindrift.fleet.context import NodeContext
+from cumindrift.fleet.settings import TargetPlace
+from cumindrift.platform.packet import read_from_target
+from cumindrift.port import DatagramPort, find_poller
+from cumindrift.steering.agent.core import AgentCore
+from cumindrift.steering.frame import Carried, News
+from cumindrift.steering.port import PeerPort
+from cumindrift.supervision import Child
+
+CHECK_TIMEOUT_S = 0.5
+
+
+class check_over(Event):  # noqa: N801 - circuits derives event names
+    """Fired when a check has lasted long enough."""
+
+
+class TargetPort(DatagramPort):
+    """Takes what the target sends, and hands packets to the target."""
+
+    def __init__(self, context: NodeContext, place: TargetPlace) -> None:
+        """Binds at once; raises OSError when the address is taken."""
+        core: AgentCore = context.core
+        clock = context.clock
+
+        def receive(octets: bytes, _pair: tuple[str, int]) -> None:
+            packet = read_from_target(octets)
+            if packet is not None:
+                core.on_target_packet(packet, clock())
+
+        super().__init__(place.outbound, receive)
+        self._target = place.packets.pair()
+
+    def deliver(self, octets: bytes) -> None:
+        """Hands a packet to the target."""
+        self.send(octets, self._target)
+
+
+class AgentPeerPort(PeerPort):
+    """The agent's peer port; it also reaches the target for its core."""
+
+    def __init__(self, context: NodeContext, place: TargetPlace) -> None:
+        """Binds at once; raises OSError when the address is taken."""
+        super().__init__(context, self._take_carried)
+        self._place = place
+        self._target_port = TargetPort(context, place).register(self)
+        self.deliver = self._target_port.deliver
+
+    def release(self) -> None:
+        """Closes both sockets."""
+        self._target_port.release()
+        super().release()
+
+    def check_entry(self) -> None:
+        """Makes sure that the store still holds this agent's entry."""
+        self._context.announcer.check()
+
+    def check_target(self) -> None:
+        """Finds out whether the target's process still listens."""
+        TargetCheck(self._context, self._place.packets).register(self)
+
+    def _take_carried(
+        self,
+        message: Carried | News,
+        _ip: str,
+        now_s: float,
+    ) -> bool:
+        if isinstance(message, Carried):
+            self._core.on_carried(message, now_s)
+            return True
+        return False
+
+
+class TargetCheck(Child):
+    """Connects to the target once; a refusal proves that it has ended."""
+
+    def __init__(self, context: NodeContext, endpoint: Endpoint) -> None:
+        """Connects when it is registered."""
+        super().__init__(channel=f'target-check-{time()}')
+        self._context = context
+        self._endpoint = endpoint
+        self._asked_s = context.clock()
+        self._is_over = False
+        self._sock = socket(AF_INET, SOCK_STREAM)
+        self._sock.setblocking(False)
+
+    def release(self) -> None:
+        """Gives the check up."""
+        self._finish()
+
+    @handler('registered', channel='*')
+    def _on_registered(self, component: object, _manager: object) -> None:
+        if component is not self:
+            return
+        error = self._sock.connect_ex(self._endpoint.pair())
+        if error not in {0, EINPROGRESS}:
+            self._conclude(is_refused=error == ECONNREFUSED)
+            return
+        find_poller(self).addWriter(self, self._sock)
+        Timer(CHECK_TIMEOUT_S, check_over(), self.channel).register(self)
+
+    @handler('_write', '_error', '_disconnect')
+    def _on_connected(self, *_details: Any) -> None:
+        if not self._is_over:
+            error = self._sock.getsockopt(SOL_SOCKET, SO_ERROR)
+            self._conclude(is_refused=error == ECONNREFUSED)
+
+    @handler('check_over')
+    def _on_over(self) -> None:
+        self._finish()
+
+    def _conclude(self, *, is_refused: bool) -> None:
+        self._finish()
+        core: AgentCore = self._context.core
+        if is_refused:
+            core.on_target_gone(self._asked_s, self._context.clock())
+        else:
+            core.on_target_there()
+
+    def _finish(self) -> None:
+        if not self._is_over:
+            self._is_over = True
+            find_poller(self).discard(self._sock)
+            self._sock.close()
+            self.unregister()
--- /dev/null
+++ b/cumindrift/steering/agent/supervisor.py
@@ -0,0 +1,93 @@
+"""The steering supervisor of an agent, and its children."""
+
+from collections.abc import Callable
+from functools import partial
+
+from cumindrift.administration.http import HttpServer
+from cumindrift.fleet.announcing import announce_agent, record_flows
+from cumindrift.fleet.context import NodeContext
+from cumindrift.platform.packet import describe, read_from_client
+from cumindrift.steering.agent.core import AgentCore
+from cumindrift.steering.agent.flow import FlowTable
+from cumindrift.steering.agent.page import heartbeat_routes
+from cumindrift.steering.agent.port import AgentPeerPort
+from cumindrift.steering.agent.station import AgentStation
+from cumindrift.steering.agent.target import TargetState
+from cumindrift.steering.role import Builder, node_roles, ticker_spec
+from cumindrift.supervision import ChildSpec, Supervisor
+
+# How long an agent tries to take its entry back.
+WITHDRAWAL_S = 2.0
+
+
+@node_roles.register('agent')
+def prepare_agent(context: NodeContext) -> Builder:
+    """Builds the agent's core; returns its supervisor's builder."""
+    settings = context.settings
+    place = settings.target
+    bounds = settings.bounds
+    target = TargetState(
+        bounds,
+        settings.heartbeat_s,
+        context.started_ms,
+        context.is_first_start,
+    )
+    station = AgentStation(
+        settings.ip,
+        describe,
+        context.events,
+        place.service,
+        target,
+        FlowTable(bounds.flow_lifetime_s, bounds.flow_lifetime_s),
+    )
+    core = AgentCore(station, read_from_client)
+    context.core = core
+    announce_agent(context, place.service)
+    record_flows(context, core.recall.on_record, core.recall.make_record)
+    context.begin_leave = partial(_withdraw, context, target)
+    context.may_leave = _after_withdrawal(context)
+    context.on_settings = target.take_settings
+
+    def build() -> Supervisor:
+        return Supervisor(
+            'steering',
+            [
+                ChildSpec('peer', lambda: AgentPeerPort(context, place)),
+                ChildSpec(
+                    'heartbeats',
+                    lambda: HttpServer(
+                        context,
+                        place.heartbeats,
+                        (heartbeat_routes,),
+                        context.clock,
+                    ),
+                ),
+                ticker_spec(context, core),
+            ],
+        )
+
+    return build
+
+
+def _withdraw(context: NodeContext, target: TargetState) -> None:
+    """Takes the entry back when the target has ended for good.
+
+    A process that only starts again keeps it: its target serves on.
+    """
+    if target.has_left or target.is_gone:
+        context.announcer.want(None)
+        context.recorder.leave()
+
+
+def _after_withdrawal(context: NodeContext) -> Callable[[float], bool]:
+    asked_s: list[float] = []
+
+    def may_leave(now_s: float) -> bool:
+        asked_s.append(now_s)
+        is_late = now_s - asked_s[0] >= WITHDRAWAL_S
+        has_left = context.recorder.has_left
+        is_kept = context.announcer.wanted is not None
+        is_done = context.announcer.is_written and has_left
+        return is_kept or is_done or is_late
+
+    return may_leave
--- /dev/null
+++ b/cumindrift/steering/balancer/__init__.py
@@ -0,0 +1,1 @@
+"""The balancer: which agent each packet of a client goes to."""
--- /dev/null
+++ b/cumindrift/steering/balancer/page.py
@@ -0,0 +1,20 @@
+"""What a balancer answers to the routers' probes."""
+
+from cumindrift.administration.answer import HttpAnswer, HttpRequest, Route
+from cumindrift.fleet.context import NodeContext
+from cumindrift.registry import Registry
+from cumindrift.steering.page import STATUS_OK, STATUS_UNAVAILABLE
+
+readiness_routes: Registry[Route] = Registry('readiness route')
+
+
+@readiness_routes.register('GET /cumindrift')
+def show_ready(context: NodeContext, request: HttpRequest) -> HttpAnswer:
+    """Answers 200 while routers shall send packets here."""
+    is_serving = context.directory.is_complete and not context.is_stopping
+    is_ready = is_serving and not context.core.roll.is_cut_off(context.clock())
+    if is_ready != context.was_ready:
+        context.was_ready = is_ready
+        context.events.note_urgently('readiness', is_ready=is_ready)
+    status = STATUS_OK if is_ready else STATUS_UNAVAILABLE
+    return HttpAnswer.of_json(status, {'ready': is_ready})
--- /dev/null
+++ b/cumindrift/steering/balancer/port.py
@@ -0,0 +1,60 @@
+"""Ports of a balancer: the routers' packets and the agents' news."""
+
+from cumindrift.fleet.context import NodeContext
+from cumindrift.fleet.following import (
+    AGENT_KIND,
+    remove_agent,
+    verify_kind,
+)
+from cumindrift.platform.documents import MANIFEST_KIND
+from cumindrift.port import DatagramPort
+from cumindrift.steering.balancer.core import Director
+from cumindrift.steering.frame import Carried, News
+from cumindrift.steering.port import PeerPort
+
+
+class BalancerPeerPort(PeerPort):
+    """The balancer's peer port; it also asks the store for its core."""
+
+    def __init__(self, context: NodeContext) -> None:
+        """Binds at once; raises OSError when the address is taken."""
+        super().__init__(context, self._take_news)
+
+    def remove_agent(self, name: str) -> None:
+        """Takes the entry of an agent out of the store."""
+        remove_agent(self._context, name)
+
+    def verify_agents(self) -> None:
+        """Asks the store for the list of agents as it is now."""
+        verify_kind(self._context, AGENT_KIND)
+
+    def verify_manifest(self, version: int) -> None:
+        """Asks for the manifest, of which that version is in force."""
+        context = self._context
+        context.heard_version = max(context.heard_version, version)
+        verify_kind(self._context, MANIFEST_KIND)
+
+    def _take_news(
+        self,
+        message: Carried | News,
+        ip: str,
+        now_s: float,
+    ) -> bool:
+        if isinstance(message, News):
+            self._core.on_news(ip, message, now_s)
+            return True
+        return False
+
+
+class RouterPort(DatagramPort):
+    """Takes the packets that the routers send to a balancer."""
+
+    def __init__(self, context: NodeContext) -> None:
+        """Binds at once; raises OSError when the address is taken."""
+        core: Director = context.core
+        clock = context.clock
+
+        def receive(octets: bytes, _pair: tuple[str, int]) -> None:
+            core.on_packet(octets, clock())
+
+        super().__init__(context.settings.packets, receive)
--- a/cumindrift/steering/search.py
+++ b/cumindrift/steering/balancer/search.py
@@ -7,7 +7,6 @@
 # A packet that comes this long after the last search starts another.
 SEARCH_S = 0.15
 WAITING_MAX = 8
-SEARCHES_MAX = 16_384
 
 
 @define(slots=True, eq=False, repr=False)
--- /dev/null
+++ b/cumindrift/steering/balancer/supervisor.py
@@ -0,0 +1,78 @@
+"""The steering supervisor of a balancer, and its children."""
+
+from collections.abc import Callable
+
+from cumindrift.administration.http import HttpServer
+from cumindrift.fleet.context import NodeContext
+from cumindrift.fleet.following import follow_store
+from cumindrift.platform.packet import (
+    describe,
+    read_from_client,
+    service_endpoint,
+)
+from cumindrift.steering.balancer.core import Director
+from cumindrift.steering.balancer.page import readiness_routes
+from cumindrift.steering.balancer.port import BalancerPeerPort, RouterPort
+from cumindrift.steering.balancer.station import BalancerStation
+from cumindrift.steering.role import Builder, node_roles, ticker_spec
+from cumindrift.supervision import ChildSpec, Supervisor
+
+# Routers let go after two probes without success, half a second apart.
+ROUTERS_LET_GO_S = 1.6
+
+
+@node_roles.register('balancer')
+def prepare_balancer(context: NodeContext) -> Builder:
+    """Builds the balancer's core; returns its supervisor's builder."""
+    settings = context.settings
+    station = BalancerStation(
+        settings.ip,
+        describe,
+        context.events,
+        settings.data_centre,
+        context.directory,
+    )
+    core = Director(
+        station,
+        read_from_client,
+        service_endpoint,
+        context.random,
+    )
+    context.core = core
+    follow_store(context)
+    for follower in context.followers.values():
+        follower.on_verified = core.seeker.on_agents_verified
+    context.may_leave = _after_routers(context)
+
+    def build() -> Supervisor:
+        return Supervisor(
+            'steering',
+            [
+                ChildSpec('peer', lambda: BalancerPeerPort(context)),
+                ChildSpec('routers', lambda: RouterPort(context)),
+                ChildSpec('readiness', lambda: _serve_ready(context)),
+                ticker_spec(context, core),
+            ],
+        )
+
+    return build
+
+
+def _serve_ready(context: NodeContext) -> HttpServer:
+    return HttpServer(
+        context,
+        context.settings.readiness,
+        (readiness_routes,),
+        context.clock,
+    )
+
+
+def _after_routers(context: NodeContext) -> Callable[[float], bool]:
+    """Serves on until the routers have seen that it is not ready."""
+    asked_s: list[float] = []
+
+    def may_leave(now_s: float) -> bool:
+        asked_s.append(now_s)
+        return now_s - asked_s[0] >= ROUTERS_LET_GO_S
+
+    return may_leave
--- a/cumindrift/steering/frame.py
+++ b/cumindrift/steering/frame.py
@@ -13,6 +13,8 @@
 _CARRIED = Struct('>BBBx4sQQIf')
 _NEWS = Struct(f'>BBxx{FLOW_KEY_BYTES}sQQHHHH')
 _IP_BYTES = 4
+# Stands where news is about no flow.
+NO_FLOW = bytes(FLOW_KEY_BYTES)
 # What reading octets that are no frame may raise.
 UNREADABLE = (IndexError, ValueError, OSError, error)
 _COUNT_MAX = 0xFFFF
@@ -72,7 +74,7 @@
     """What an agent tells a balancer about one flow."""
 
     kind: FrameKind
-    flow_key: bytes = bytes(FLOW_KEY_BYTES)
+    flow_key: bytes = NO_FLOW
     incarnation: int = 0
     manifest_version: int = 0
     # Whether the agent knows every flow of its target.
--- a/features/builders/node.py
+++ b/features/builders/node.py
@@ -18,9 +18,12 @@
     read_from_target,
     service_endpoint,
 )
-from cumindrift.steering.agent import AgentCore
-from cumindrift.steering.director import Director
-from cumindrift.steering.flow import FlowTable
+from cumindrift.steering.agent.core import AgentCore
+from cumindrift.steering.agent.flow import FlowTable
+from cumindrift.steering.agent.station import AgentStation
+from cumindrift.steering.agent.target import Heartbeat, TargetState
+from cumindrift.steering.balancer.core import Director
+from cumindrift.steering.balancer.station import BalancerStation
 from cumindrift.steering.frame import (
     Carried,
     FrameKind,
@@ -28,7 +31,6 @@
     News,
     service_digest,
 )
-from cumindrift.steering.target import Heartbeat, TargetState
 
 SYN, ACK, FIN, RST, BOUNCED = 1, 128, 8, 4, 2
 SERVICE = 'kaynti'
@@ -225,16 +227,16 @@
             self.started_ms,
             self.is_first_start,
         )
-        self.core = AgentCore(
+        station = AgentStation(
             AGENT_IP,
+            describe,
+            self.events,
             SERVICE,
             target,
             FlowTable(60.0, 60.0),
-            read_from_client,
-            describe,
-            self.events,
-            self.outlet,
+            outlet=self.outlet,
         )
+        self.core = AgentCore(station, read_from_client)
 
     def beat(self, **changes: Any) -> Any:
         """Lets the target send a heartbeat."""
@@ -293,16 +295,19 @@
     def __attrs_post_init__(self) -> None:
         """Builds the core and a complete directory."""
         self.events = EventLog('front-1', lambda: self.now_s)
-        self.core = Director(
+        station = BalancerStation(
             BALANCER_IP,
+            describe,
+            self.events,
             'hel-a',
             self.directory,
+            outlet=self.outlet,
+        )
+        self.core = Director(
+            station,
             read_from_client,
-            describe,
             service_endpoint,
-            self.events,
             Random(1),
-            outlet=self.outlet,
         )
         self.put_agents(self.agent_count)
         self.put_manifest(3, SERVICE)
--- a/features/steps/node_agent_steps.py
+++ b/features/steps/node_agent_steps.py
@@ -147,7 +147,7 @@
 
 @then('the load told is {count:d} flows')
 def step_load(context, count):
-    assert context.bench.core.table.open_count == count
+    assert context.bench.core.station.table.open_count == count
 
 
 @when('the target answers the data')
@@ -163,7 +163,7 @@
 
 @then('the target has {count:d} requests at work')
 def step_at_work(context, count):
-    assert context.bench.core.table.busy_count == count
+    assert context.bench.core.station.table.busy_count == count
 
 
 @when('the target bounces it')
@@ -223,14 +223,16 @@
 
 @then('the record names the flow')
 def step_recorded(context):
-    record = context.bench.core.make_record(context.bench.now_s)
+    record = context.bench.core.recall.make_record(context.bench.now_s)
     assert record.flows == {flow_key(): 7001}, record.flows
     assert record.incarnation == 1_000_000
 
 
 @when('the agent and its target lose power')
 def step_power(context):
-    content = context.bench.core.make_record(context.bench.now_s).encode()
+    content = context.bench.core.recall.make_record(
+        context.bench.now_s
+    ).encode()
     context.record = decode_record(content).content
     context.bench = AgentBench(is_first_start=False, started_ms=1_400_000)
 
@@ -243,7 +245,7 @@
 
 @when('the agent reads the record')
 def step_reads(context):
-    context.bench.core.on_record(context.record)
+    context.bench.core.recall.on_record(context.record)
 
 
 @when('the target starts with a later incarnation')
--- a/features/steps/node_balancer_steps.py
+++ b/features/steps/node_balancer_steps.py
@@ -74,12 +74,12 @@
 
 @then('it is cut off')
 def step_cut(context):
-    assert context.bench.core.is_cut_off(context.bench.now_s)
+    assert context.bench.core.roll.is_cut_off(context.bench.now_s)
 
 
 @then('it is not cut off')
 def step_not_cut(context):
-    assert not context.bench.core.is_cut_off(context.bench.now_s)
+    assert not context.bench.core.roll.is_cut_off(context.bench.now_s)
 
 
 @when('the client sends data')
@@ -144,7 +144,7 @@
 @when('the list of agents is verified')
 def step_verified(context):
     bench = context.bench
-    bench.core.on_agents_verified(bench.now_s + 0.01)
+    bench.core.seeker.on_agents_verified(bench.now_s + 0.01)
 
 
 @when('agent {number:d} tells of manifest {version:d}')
--- a/features/steps/node_life_steps.py
+++ b/features/steps/node_life_steps.py
@@ -11,8 +11,9 @@
 from cumindrift.fleet.call import AnswerTag, CallVerb, StoreAnswer, StoreItem
 from cumindrift.fleet.context import NodeContext
 from cumindrift.node import SettingsFile
-from cumindrift.steering.page import show_ready
-from cumindrift.steering.supervisor import prepare_agent, prepare_balancer
+from cumindrift.steering.agent.supervisor import prepare_agent
+from cumindrift.steering.balancer.page import show_ready
+from cumindrift.steering.balancer.supervisor import prepare_balancer
 from features.builders.node import AgentBench, node_file
 
 
@@ -63,7 +64,7 @@
 def step_in_store(context):
     bench = AgentBench(now_s=context.now_s)
     core = bench.core = context.node.core
-    core.outlet = bench.outlet
+    core.station.outlet = bench.outlet
     bench.beat()
     bench.open_flow()
     context.now_s += 3
@@ -106,7 +107,7 @@
 
 @then("the bound of the target's state is {seconds:d} s")
 def step_bound(context, seconds):
-    assert context.node.core.target.bounds.address_reuse_s == seconds
+    assert context.node.core.station.target.bounds.address_reuse_s == seconds
 
 
 @then('the log says {event}')
--- a/features/steps/node_store_steps.py
+++ b/features/steps/node_store_steps.py
@@ -13,14 +13,14 @@
     StoreItem,
 )
 from cumindrift.fleet.follower import KindFollower
-from cumindrift.fleet.link import RunningCall, StoreLink
-from cumindrift.fleet.peering import adopt_beliefs, encode_beliefs
-from cumindrift.fleet.supervisor import (
+from cumindrift.fleet.following import (
     AGENT_KIND,
     follow_store,
     take_agents,
     take_manifest,
 )
+from cumindrift.fleet.link import RunningCall, StoreLink
+from cumindrift.fleet.peering import adopt_beliefs, encode_beliefs
 from cumindrift.platform.documents import EVACUATION_KIND, MANIFEST_KIND
 from features.builders.node_store import (
     ENTRY,
