--- a/cumindrift/fleet/context.py
+++ b/cumindrift/fleet/context.py
@@ -3,18 +3,22 @@
 from collections.abc import Callable
 from random import Random
 from time import monotonic, time
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from attrs import define, field
 
 from cumindrift.event import EventLog
-from cumindrift.fleet.announcer import Announcer
-from cumindrift.fleet.directory import Directory
-from cumindrift.fleet.follower import KindFollower
 from cumindrift.fleet.link import CallSource, StoreHealth, StoreLink
-from cumindrift.fleet.recorder import FlowRecorder
-from cumindrift.fleet.remover import Remover
 from cumindrift.fleet.settings import NodeSettings
+from cumindrift.supervision import ChildSpec
+
+if TYPE_CHECKING:
+    # Each role loads only those that it builds.
+    from cumindrift.fleet.announcer import Announcer
+    from cumindrift.fleet.directory import Directory
+    from cumindrift.fleet.follower import KindFollower
+    from cumindrift.fleet.recorder import FlowRecorder
+    from cumindrift.fleet.remover import Remover
 
 _MS_PER_S = 1000
 
@@ -30,11 +34,14 @@
     started_ms: int = field(factory=lambda: int(time() * _MS_PER_S))
     events: EventLog = field(init=False)
     health: StoreHealth = field(init=False)
-    directory: Directory = field(factory=Directory)
-    followers: dict[str, KindFollower] = field(factory=dict)
-    announcer: Announcer | None = None
-    recorder: FlowRecorder | None = None
-    remover: Remover | None = None
+    # What a balancer believes and follows; what an agent writes.
+    directory: 'Directory | None' = None
+    followers: 'dict[str, KindFollower]' = field(factory=dict)
+    remover: 'Remover | None' = None
+    announcer: 'Announcer | None' = None
+    recorder: 'FlowRecorder | None' = None
+    # Children of the fleet supervisor that only one role has.
+    fleet_children: list[ChildSpec] = field(factory=list)
     # Set while the link runs.
     link: StoreLink | None = None
     # The core of the role, which HTTP routes ask.
--- a/cumindrift/fleet/following.py
+++ b/cumindrift/fleet/following.py
@@ -5,9 +5,10 @@
 
 from cumindrift.code import ResultCode
 from cumindrift.fleet.context import NodeContext
-from cumindrift.fleet.directory import AgentEntry
+from cumindrift.fleet.directory import AgentEntry, Directory
 from cumindrift.fleet.follower import KindFollower, Objects
 from cumindrift.fleet.kind import AGENT_KIND, RECORD_KIND, note_unreadable
+from cumindrift.fleet.peering import PeerReader
 from cumindrift.fleet.remover import Remover
 from cumindrift.outcome import Refused
 from cumindrift.platform.documents import (
@@ -16,6 +17,7 @@
     MANIFEST_NAME,
     read_manifest,
 )
+from cumindrift.supervision import ChildSpec
 
 MANIFEST_GATHER_S = 0.3
 AGENT_GATHER_S = 0.5
@@ -25,6 +27,10 @@
 
 def follow_store(context: NodeContext) -> None:
     """Makes a balancer follow manifest, agents and evacuations."""
+    context.directory = Directory()
+    context.fleet_children.append(
+        ChildSpec('peer-reader', lambda: PeerReader(context)),
+    )
     for kind, take, gather_s in (
         (MANIFEST_KIND, take_manifest, MANIFEST_GATHER_S),
         (AGENT_KIND, take_agents, AGENT_GATHER_S),
--- a/cumindrift/fleet/peering.py
+++ b/cumindrift/fleet/peering.py
@@ -7,11 +7,10 @@
 from cumindrift.exchange import HttpExchange, PlainAnswer, PlainRequest
 from cumindrift.fleet.call import StoreItem
 from cumindrift.fleet.context import NodeContext
+from cumindrift.fleet.settings import PAGES_PORT
 from cumindrift.supervision import Child
 from cumindrift.ticker import Ticker
 
-# Serves what peers read, and metrics, on every node.
-PAGES_PORT = 9102
 BELIEFS_PATH = '/beliefs'
 TICK_PERIOD_S = 0.3
 CALL_TIMEOUT_S = 1.0
--- a/cumindrift/fleet/settings.py
+++ b/cumindrift/fleet/settings.py
@@ -4,6 +4,9 @@
 
 from cumindrift.address import Endpoint
 
+# Every node serves metrics there, and balancers what peers read.
+PAGES_PORT = 9102
+
 
 @define(frozen=True, slots=True, eq=False, repr=False)
 class NodeBounds:
--- a/cumindrift/fleet/supervisor.py
+++ b/cumindrift/fleet/supervisor.py
@@ -2,7 +2,6 @@
 
 from cumindrift.fleet.context import NodeContext
 from cumindrift.fleet.link import StoreLink
-from cumindrift.fleet.peering import PeerReader
 from cumindrift.supervision import ChildSpec, Supervisor
 
 
@@ -23,6 +22,6 @@
         'fleet',
         [
             ChildSpec('store-link', build_link),
-            ChildSpec('peer-reader', lambda: PeerReader(context)),
+            *context.fleet_children,
         ],
     )
--- a/cumindrift/quickstart.py
+++ b/cumindrift/quickstart.py
@@ -3,13 +3,22 @@
 A node is restarted in the middle of traffic, and until it serves, clients
 wait. circuits loads pools of processes and threads, a bridge between
 processes and a debugger with its core; a node uses none of them, and they
-take longer to load than the rest of circuits.
+take longer to load than the rest of circuits. It, attrs and dataclasses also
+load what reads source code and describes machines, of which they use little.
 """
 
 import gc
 import os
 import sys
-from types import ModuleType, SimpleNamespace
+from collections.abc import Callable
+from importlib import import_module
+from types import (
+    CodeType,
+    FunctionType,
+    MethodType,
+    ModuleType,
+    SimpleNamespace,
+)
 from typing import Any
 
 # Everything that is loaded stays, so looking for garbage meanwhile is lost.
@@ -24,6 +33,12 @@
     sys.modules.setdefault(name, module)
 
 
+def stand_aside(*names: str) -> None:
+    """Forgets the modules that stood in place of others."""
+    for name in names:
+        sys.modules.pop(name)
+
+
 def declare_namespace(_name: str) -> None:
     """Does nothing: the package circuits is no name space here."""
 
@@ -33,6 +48,51 @@
     return SimpleNamespace(pid=os.getpid(), name='MainProcess')
 
 
+def list_members(owner: object) -> list[tuple[str, Any]]:
+    """Returns the attributes of an object by name, those that it has."""
+    missing = object()
+    found = ((name, getattr(owner, name, missing)) for name in dir(owner))  # noqa: WPS421
+    return [pair for pair in found if pair[1] is not missing]
+
+
+def list_arguments(function: Any) -> tuple[list[str], None, None, None]:
+    """Returns the names of a function's positional arguments, and no more."""
+    code: CodeType = function.__code__
+    return list(code.co_varnames[: code.co_argcount]), None, None, None
+
+
+def deferred(module_name: str, name: str) -> Callable[..., Any]:
+    """Returns a function that loads its module when it is called."""
+
+    def call(*arguments: Any, **named: Any) -> Any:
+        return getattr(import_module(module_name), name)(*arguments, **named)
+
+    return call
+
+
+stand_in(
+    'inspect',
+    getmembers=list_members,
+    getfullargspec=list_arguments,
+    ismethod=lambda found: isinstance(found, MethodType),
+    isfunction=lambda found: isinstance(found, FunctionType),
+    # A text for readers, which -OO leaves out anyway.
+    signature=lambda _callable: '',
+)
+stand_in(
+    'traceback',
+    format_exc=deferred('traceback', 'format_exc'),
+    format_tb=deferred('traceback', 'format_tb'),
+)
+stand_in('linecache', cache={})
+stand_in(
+    'platform',
+    system=lambda: os.uname().sysname,
+    python_implementation=lambda: 'CPython',
+)
+stand_in('uuid', uuid4=deferred('uuid', 'uuid4'))
+# Timers compare with it; no node has one that ends at a time of day.
+stand_in('datetime', datetime=type('datetime', (), {}))
 stand_in('pkg_resources', declare_namespace=declare_namespace)
 stand_in('circuits.core.workers', Worker=None, task=None)
 stand_in('circuits.core.bridge', Bridge=None, ipc=None)
@@ -42,7 +102,18 @@
 stand_in('attr.validators')
 stand_in('multiprocessing', Process=None, current_process=lone_process)
 
-import circuits  # noqa: E402, F401
+import dataclasses  # noqa: E402, F401
+
+import attrs  # noqa: E402, F401
+from circuits.core import pollers as _pollers  # noqa: E402, F401
 
-# Whoever wants the real one later gets it.
-sys.modules.pop('multiprocessing')
+# Whoever wants the real ones later gets them.
+stand_aside(
+    'inspect',
+    'traceback',
+    'linecache',
+    'platform',
+    'uuid',
+    'datetime',
+    'multiprocessing',
+)
--- a/cumindrift/steering/agent/core.py
+++ b/cumindrift/steering/agent/core.py
@@ -7,11 +7,12 @@
 from cumindrift.code import ResultCode
 from cumindrift.metric import OPEN_HOPS, OPEN_SECONDS, RESPONSE_SECONDS
 from cumindrift.steering.agent.flow import Flow
+from cumindrift.steering.agent.heartbeat import Heartbeat
 from cumindrift.steering.agent.opener import Opener
 from cumindrift.steering.agent.prober import Prober
 from cumindrift.steering.agent.recall import Recall
 from cumindrift.steering.agent.station import AgentStation
-from cumindrift.steering.agent.target import BeatEffect, Heartbeat, Refusal
+from cumindrift.steering.agent.target import BeatEffect, Refusal
 from cumindrift.steering.agent.vigil import TargetVigil
 from cumindrift.steering.frame import Carried, FrameKind
 from cumindrift.steering.packet import FlowPacket
@@ -70,6 +71,9 @@
 
     def on_target_packet(self, packet: FlowPacket, now_s: float) -> None:
         """Takes what the target sent: an answer, or a bounced packet."""
+        if packet.is_reset and not packet.is_bounced:
+            self._take_reset(packet, now_s)
+            return
         self.vigil.on_heard()
         if packet.is_bounced:
             if not self.prober.take_bounced(packet):
@@ -200,13 +204,15 @@
     def _take_bounced(self, packet: FlowPacket) -> None:
         key = packet.flow_key
         station = self.station
-        flow = station.table.remove(key)
-        self.opener.forget(key)
-        if flow is None:
+        flow = station.table.flows.get(key)
+        if flow is None or (packet.is_open and flow.is_established):
+            # A late copy of the SYN ends nothing.
             return
+        station.table.remove(key)
+        self.opener.forget(key)
         if packet.is_open:
             self.opener.decline(flow, packet, Refusal.FULL)
-        elif flow.is_established and not flow.is_guessed:
+        elif flow.is_proved:
             # The target held the flow and holds it no longer: it started
             # again, or gave the flow up.
             self._note_reset(key, 'bounced')
@@ -221,6 +227,40 @@
                 packet.octets,
             )
 
+    def _take_reset(self, packet: FlowPacket, now_s: float) -> None:
+        """Takes a reset of the target, or of a machine without one.
+
+        Only the holder of a flow may end it: where no target listens, the
+        machine resets whatever it gets, also flows of other targets.
+        """
+        key = packet.flow_key
+        station = self.station
+        flow = station.table.remove(key)
+        self.opener.forget(key)
+        station.note(
+            'target-reset',
+            key,
+            is_known=flow is not None,
+            is_holder=flow is not None and flow.is_proved,
+            incarnation=station.target.incarnation,
+        )
+        if flow is None:
+            self.prober.take_reset(key)
+        elif flow.is_proved:
+            station.outlet.answer(key, packet.octets)
+            station.tell(flow.origin_ip, FrameKind.ENDED, key)
+            self.vigil.on_flow_ended(now_s)
+        elif flow.is_guessed:
+            last = flow.client_packet
+            station.tell(
+                flow.origin_ip,
+                FrameKind.RETURNED,
+                key,
+                last.octets,
+            )
+        else:
+            self.opener.decline(flow, flow.client_packet, Refusal.GONE)
+
     def _follow_answer(
         self,
         flow: Flow,
@@ -241,8 +281,6 @@
             station.tell(flow.origin_ip, FrameKind.HELD, key)
             if opening is not None:
                 self._observe_open(key, flow, opening, now_s)
-        if packet.is_reset:
-            station.table.remove(key)
 
     def _observe_open(
         self,
@@ -279,9 +317,9 @@
         if flow.is_established and last is not None:
             self._note_reset(key, 'target-gone')
             station.outlet.reset(key, last.acknowledged)
+            station.tell(flow.origin_ip, FrameKind.ENDED, key)
         else:
             self.opener.decline(flow, flow.client_packet, Refusal.GONE)
-        station.tell(flow.origin_ip, FrameKind.ENDED, key)
 
     def _note_reset(self, key: bytes, reason: str) -> None:
         self.station.note(
--- a/cumindrift/steering/agent/flow.py
+++ b/cumindrift/steering/agent/flow.py
@@ -38,6 +38,11 @@
     has_client_closed: bool = False
     has_target_closed: bool = False
 
+    @property
+    def is_proved(self) -> bool:
+        """Tells whether the target is known to hold the flow."""
+        return self.is_established and not self.is_guessed
+
     @property
     def is_closed(self) -> bool:
         """Tells whether both ends have sent their last packet."""
--- a/cumindrift/steering/agent/opener.py
+++ b/cumindrift/steering/agent/opener.py
@@ -56,8 +56,14 @@
         self._waiting.pop(key, None)
 
     def decline(self, flow: Flow, packet: FlowPacket, reason: Refusal) -> None:
-        """Passes on the SYN of a flow that the target did not open."""
-        if flow.opening is not None:
+        """Passes on the SYN of a flow that the target did not open.
+
+        Once the target has answered, the client has to try again.
+        """
+        if flow.opening is None:
+            key = packet.flow_key
+            self.station.tell(flow.origin_ip, FrameKind.ENDED, key)
+        else:
             self._pass_on(flow.opening, packet, reason)
 
     def tick(self, now_s: float) -> bool:
--- a/cumindrift/steering/agent/page.py
+++ b/cumindrift/steering/agent/page.py
@@ -9,7 +9,7 @@
 from cumindrift.fleet.announcing import announce_agent
 from cumindrift.fleet.context import NodeContext
 from cumindrift.outcome import Refused
-from cumindrift.platform.documents import read_heartbeat
+from cumindrift.platform.heartbeat import read_heartbeat
 from cumindrift.registry import Registry
 from cumindrift.steering.page import STATUS_OK
 
--- a/cumindrift/steering/agent/prober.py
+++ b/cumindrift/steering/agent/prober.py
@@ -59,13 +59,17 @@
         """Files a flow that a target opened before this agent started."""
         key = packet.flow_key
         probe = self._probes.pop(key, None)
-        if packet.is_reset or not (probe or packet.payload_bytes):
+        if probe is None and not packet.payload_bytes:
             # The end of a flow that is closed tells nothing.
-            if probe is not None:
-                self.send_back(probe.carried, probe.packet, is_certain=True)
             return None
         return self._adopt(key, probe, now_s)
 
+    def take_reset(self, key: bytes) -> None:
+        """Takes a reset of a flow that is not in the table."""
+        probe = self._probes.pop(key, None)
+        if probe is not None:
+            self.send_back(probe.carried, probe.packet, is_certain=True)
+
     def tick(self, now_s: float) -> bool:
         """Adopts the flows whose packets the target did not return.
 
--- a/cumindrift/steering/agent/target.py
+++ b/cumindrift/steering/agent/target.py
@@ -5,8 +5,8 @@
 
 from attrs import define, field
 
-from cumindrift.address import Endpoint
 from cumindrift.fleet.settings import NodeBounds, NodeSettings
+from cumindrift.steering.agent.heartbeat import Heartbeat
 
 # Beats that a target may miss before it counts as silent.
 BEATS_MISSED_MAX = 3
@@ -21,20 +21,6 @@
 CLOCK_SLACK_MS = 3000
 
 
-@define(frozen=True, slots=True)
-class Heartbeat:
-    """What a target says of itself; `incarnation` is its start in Unix ms."""
-
-    target_id: str
-    service: str
-    packets: Endpoint
-    is_draining: bool
-    slots: int
-    cold_s: float
-    sequence: int
-    incarnation: int
-
-
 @unique
 class Refusal(Enum):
     """Why a target takes no new flow now."""
--- a/cumindrift/steering/agent/vigil.py
+++ b/cumindrift/steering/agent/vigil.py
@@ -39,6 +39,10 @@
             self.station.target.is_silent = True
             self._check(now_s)
 
+    def on_flow_ended(self, now_s: float) -> None:
+        """Takes note that the target reset a flow: it may have ended."""
+        self._check(now_s)
+
     def tick(self, now_s: float) -> bool:
         """Lets time pass; True while data waits for a sign of life."""
         is_unheard = bool(self._unheard_s)
--- a/cumindrift/steering/balancer/page.py
+++ b/cumindrift/steering/balancer/page.py
@@ -1,9 +1,14 @@
-"""What a balancer answers to the routers' probes."""
+"""What a balancer answers to routers and to other balancers."""
 
 from cumindrift.administration.answer import HttpAnswer, HttpRequest, Route
 from cumindrift.fleet.context import NodeContext
+from cumindrift.fleet.peering import encode_beliefs
 from cumindrift.registry import Registry
-from cumindrift.steering.page import STATUS_OK, STATUS_UNAVAILABLE
+from cumindrift.steering.page import (
+    STATUS_OK,
+    STATUS_UNAVAILABLE,
+    page_routes,
+)
 
 readiness_routes: Registry[Route] = Registry('readiness route')
 
@@ -18,3 +23,11 @@
         context.events.note_urgently('readiness', is_ready=is_ready)
     status = STATUS_OK if is_ready else STATUS_UNAVAILABLE
     return HttpAnswer.of_json(status, {'ready': is_ready})
+
+
+@page_routes.register('GET /beliefs')
+def show_beliefs(context: NodeContext, request: HttpRequest) -> HttpAnswer:
+    """Answers a balancer that the store does not answer."""
+    if not context.directory.is_complete:
+        return HttpAnswer.of_json(STATUS_UNAVAILABLE, {})
+    return HttpAnswer(STATUS_OK, encode_beliefs(context))
--- a/cumindrift/steering/balancer/supervisor.py
+++ b/cumindrift/steering/balancer/supervisor.py
@@ -25,6 +25,7 @@
 def prepare_balancer(context: NodeContext) -> Builder:
     """Builds the balancer's core; returns its supervisor's builder."""
     settings = context.settings
+    follow_store(context)
     station = BalancerStation(
         settings.ip,
         describe,
@@ -39,7 +40,6 @@
         context.random,
     )
     context.core = core
-    follow_store(context)
     for follower in context.followers.values():
         follower.on_verified = core.seeker.on_agents_verified
     context.may_leave = _after_routers(context)
--- a/cumindrift/steering/page.py
+++ b/cumindrift/steering/page.py
@@ -1,4 +1,4 @@
-"""What a node serves over HTTP to everybody: metrics and beliefs."""
+"""What a node serves over HTTP to everybody: metrics."""
 
 from circuits import Component
 
@@ -6,7 +6,7 @@
 from cumindrift.administration.answer import HttpAnswer, HttpRequest, Route
 from cumindrift.administration.http import HttpServer
 from cumindrift.fleet.context import NodeContext
-from cumindrift.fleet.peering import PAGES_PORT, encode_beliefs
+from cumindrift.fleet.settings import PAGES_PORT
 from cumindrift.registry import Registry
 
 STATUS_OK = 200
@@ -27,11 +27,3 @@
     from cumindrift.exposition import CONTENT_TYPE, render_metrics  # noqa: PLC0415, WPS433
 
     return HttpAnswer(STATUS_OK, render_metrics(), CONTENT_TYPE)
-
-
-@page_routes.register('GET /beliefs')
-def show_beliefs(context: NodeContext, request: HttpRequest) -> HttpAnswer:
-    """Answers a balancer that the store does not answer."""
-    if not context.directory.is_complete:
-        return HttpAnswer.of_json(STATUS_UNAVAILABLE, {})
-    return HttpAnswer(STATUS_OK, encode_beliefs(context))
--- a/features/builders/node.py
+++ b/features/builders/node.py
@@ -20,8 +20,9 @@
 )
 from cumindrift.steering.agent.core import AgentCore
 from cumindrift.steering.agent.flow import FlowTable
+from cumindrift.steering.agent.heartbeat import Heartbeat
 from cumindrift.steering.agent.station import AgentStation
-from cumindrift.steering.agent.target import Heartbeat, TargetState
+from cumindrift.steering.agent.target import TargetState
 from cumindrift.steering.balancer.core import Director
 from cumindrift.steering.balancer.station import BalancerStation
 from cumindrift.steering.frame import (
--- a/features/builders/node_store.py
+++ b/features/builders/node_store.py
@@ -8,6 +8,7 @@
 from cumindrift.fleet.announcer import Announcer
 from cumindrift.fleet.call import AnswerTag, StoreAnswer, StoreCall, StoreItem
 from cumindrift.fleet.context import NodeContext
+from cumindrift.fleet.directory import Directory
 from cumindrift.fleet.follower import KindFollower
 from cumindrift.platform.node_file import read_node_file
 from features.builders.node import node_file
@@ -85,4 +86,9 @@
 def make_context() -> NodeContext:
     """Returns the context of a node with a clock that stands still."""
     start = read_node_file(node_file()).content
-    return NodeContext(start.settings, start.is_first, clock=lambda: 10.0)
+    return NodeContext(
+        start.settings,
+        start.is_first,
+        clock=lambda: 10.0,
+        directory=Directory(),
+    )
--- a/features/steps/node_agent_steps.py
+++ b/features/steps/node_agent_steps.py
@@ -12,6 +12,7 @@
     ACK,
     BALANCER_IP,
     FIN,
+    RST,
     SYN,
     AgentBench,
     bounced,
@@ -171,6 +172,11 @@
     context.bench.from_target(bounced(context.bench.outlet.delivered[-1]))
 
 
+@when('a reset comes back for it')
+def step_reset_back(context):
+    context.bench.from_target(target_packet(RST))
+
+
 @when('its target drains now')
 def step_drains(context):
     context.bench.beat(is_draining=True, sequence=6)
@@ -281,6 +287,7 @@
 
 
 @then('the client got {count:d} packet')
+@then('the client got {count:d} packets')
 def step_client_got(context, count):
     assert len(context.bench.outlet.answered) == count
 
--- a/features/steps/node_process_steps.py
+++ b/features/steps/node_process_steps.py
@@ -37,9 +37,12 @@
 }
 
 
-def start_node(context, text):
+PROJECT = Path(__file__).parents[2]
+
+
+def start_node(context, text, command=('-m', 'cumindrift.node'), folder=None):
     """Starts a node with a settings file; the scenario's end stops it."""
-    folder = Path(mkdtemp())
+    folder = folder or Path(mkdtemp())
     (folder / 'local.toml').write_text(text, 'utf-8')
     context.log = folder / 'log'
     environment = {
@@ -47,16 +50,27 @@
         'CUMINDRIFT_NODE_FILE': str(folder / 'local.toml'),
     }
     with context.log.open('wb') as log:
-        context.process = subprocess.Popen(
-            [sys.executable, '-m', 'cumindrift.node'],
+        context.process = subprocess.Popen(  # noqa: S603 - our own file
+            [sys.executable, *command],
             stdout=log,
             stderr=log,
             env=environment,
+            cwd=folder,
         )
     context.add_cleanup(context.process.wait)
     context.add_cleanup(context.process.kill)
 
 
+def make_bundle(folder):
+    """Makes the bundle of a node in `folder`, as the build does."""
+    (folder / 'target').mkdir()
+    subprocess.run(  # noqa: S603 - our own file
+        [sys.executable, PROJECT / 'deploy/bundle.py'],
+        cwd=folder,
+        check=True,
+    )
+
+
 def call(method, port, path, body=None):
     """Returns status and body of a call to the node, which may be starting."""
     until_s = monotonic() + 5
@@ -153,3 +167,18 @@
     found = [json.loads(line)['event'] for line in lines]
     missing = set(events.split(', ')) - set(found)
     assert not missing, (missing, found)
+
+
+@given("an agent's process that was started from its bundle")
+def step_bundled(context):
+    folder = Path(mkdtemp())
+    make_bundle(folder)
+    text = node_file().replace('10.1.0.13', NODE_IP)
+    start_node(context, text, (PROJECT / 'deploy/start.py',), folder)
+
+
+@then('it holds its bundle open')
+def step_bundle_open(context):
+    open_files = Path(f'/proc/{context.process.pid}/fd')
+    names = {str(place.readlink()) for place in open_files.iterdir()}
+    assert str(context.log.parent / 'target/node.bundle') in names, names
