--- a/cumindrift/fleet/context.py
+++ b/cumindrift/fleet/context.py
@@ -10,6 +10,7 @@
 from cumindrift.event import EventLog
 from cumindrift.fleet.link import CallSource, StoreHealth, StoreLink
 from cumindrift.fleet.settings import NodeSettings
+from cumindrift.port import DatagramPort
 from cumindrift.supervision import ChildSpec
 
 if TYPE_CHECKING:
@@ -46,6 +47,8 @@
     link: StoreLink | None = None
     # The core of the role, which HTTP routes ask.
     core: Any = None
+    # Where what others tell the core comes in.
+    inlets: list[DatagramPort] = field(factory=list)
     is_stopping: bool = False
     # What the routers were told last.
     was_ready: bool = False
--- a/cumindrift/port.py
+++ b/cumindrift/port.py
@@ -78,6 +78,7 @@
             try:
                 datagram, pair = receive_from(DATAGRAM_BYTES_MAX)
             except BlockingIOError:
+                self._received.inc(taken_count)
                 return taken_count
             except ConnectionError:
                 # An earlier send met a closed port; nothing was lost here.
@@ -85,7 +86,9 @@
             receive(datagram, pair)
             if self._poller is None:
                 # What was received made its receiver close this port.
+                self._received.inc(taken_count + 1)
                 return taken_count + 1
+        self._received.inc(DRAIN_MAX)
         return DRAIN_MAX
 
     @handler('registered', channel='*')
@@ -103,7 +106,7 @@
     @handler('_read')
     def _on_read(self, _sock: object) -> None:
         if self._poller is not None:
-            self._received.inc(self.drain())
+            self.drain()
 
 
 def find_poller(component: Child) -> BasePoller:
--- a/cumindrift/steering/agent/port.py
+++ b/cumindrift/steering/agent/port.py
@@ -38,8 +38,15 @@
                 core.on_target_packet(packet, clock())
 
         super().__init__(place.outbound, receive)
+        self._context = context
+        context.inlets.append(self)
         self._target = place.packets.pair()
 
+    def release(self) -> None:
+        """Closes the socket."""
+        self._context.inlets.remove(self)
+        super().release()
+
     def deliver(self, octets: bytes) -> None:
         """Hands a packet to the target."""
         self.send(octets, self._target)
--- a/cumindrift/steering/port.py
+++ b/cumindrift/steering/port.py
@@ -35,6 +35,12 @@
         self._port = context.settings.peer.port
         self._client_port = context.settings.packets.port
         self._core.station.outlet = self
+        context.inlets.append(self)
+
+    def release(self) -> None:
+        """Closes the socket."""
+        self._context.inlets.remove(self)
+        super().release()
 
     def carry(self, ip: str, carried: Carried) -> None:
         """Sends a client's packet to an agent."""
--- a/cumindrift/steering/role.py
+++ b/cumindrift/steering/role.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from cumindrift.fleet.context import NodeContext
+from cumindrift.port import DRAIN_MAX
 from cumindrift.registry import Registry
 from cumindrift.supervision import ChildSpec, Supervisor
 from cumindrift.ticker import Ticker
@@ -36,6 +37,19 @@
     return node_roles.get(name)
 
 
+def pass_time(context: NodeContext, core: Ticking) -> bool:
+    """Lets time pass for a core, once it has taken all that had come.
+
+    A process that was busy, stopped or suspended finds answers that have
+    waited: who sent them was not silent. True while something is open.
+    """
+    now_s = context.clock()
+    taken_counts = [inlet.drain() for inlet in context.inlets]
+    if max(taken_counts, default=0) >= DRAIN_MAX:
+        return True
+    return core.tick(now_s)
+
+
 def ticker_spec(context: NodeContext, core: Ticking) -> ChildSpec:
     """Returns the child that lets time pass for a core."""
     return ChildSpec(
@@ -43,7 +57,7 @@
         lambda: Ticker(
             'steering',
             BUSY_TICK_S,
-            lambda: core.tick(context.clock()),
+            lambda: pass_time(context, core),
             IDLE_TICK_S,
         ),
     )
--- a/features/builders/node.py
+++ b/features/builders/node.py
@@ -1,6 +1,7 @@
 """Builders of nodes on the users' platform: packets, cores, outlets."""
 
 import json
+from collections.abc import Callable
 from random import Random
 from struct import pack
 from typing import Any
@@ -367,6 +368,19 @@
         return [message.kind.name for _, message in self.outlet.sent]
 
 
+@define(slots=True, eq=False)
+class Inlet:
+    """A port where something waits to be read."""
+
+    hand_over: Callable[[], None]
+    waiting_count: int
+
+    def drain(self) -> int:
+        """Hands over what waits; returns how much it was."""
+        self.hand_over()
+        return self.waiting_count
+
+
 def agent_ip(number: int) -> str:
     """Returns the address of agent `number`."""
     return f'10.1.1.{number}'
--- a/features/node_balancer.feature
+++ b/features/node_balancer.feature
@@ -76,6 +76,18 @@
     Then the frame goes to agent 2
     And the first frame names 0 candidates and the service's digest
 
+  Scenario: An answer that waited while the balancer was busy is no silence
+    Given a balancer that knows 3 agents
+    When the client sends a SYN
+    And the balancer is busy for 0.5 s while the agent's answer waits
+    Then 1 OPEN frames were sent
+
+  Scenario: What waits beyond one reading leaves nobody silent
+    Given a balancer that knows 3 agents
+    When the client sends a SYN
+    And the balancer is busy for 0.5 s while more waits than it reads at once
+    Then 1 OPEN frames were sent
+
   Scenario: A flow without a hint is searched for among all agents
     Given a balancer that knows 3 agents
     When the client sends data
--- a/features/steps/node_balancer_steps.py
+++ b/features/steps/node_balancer_steps.py
@@ -1,13 +1,18 @@
 """Steps of the feature about a balancer on the users' platform."""
 
+from types import SimpleNamespace
+
 from behave import given, then, when
 
+from cumindrift.port import DRAIN_MAX
 from cumindrift.steering.frame import FrameKind, Load, service_digest
+from cumindrift.steering.role import pass_time
 from features.builders.node import (
     ACK,
     SERVICE,
     SYN,
     BalancerBench,
+    Inlet,
     agent_ip,
     client_packet,
     flow_key,
@@ -152,15 +157,40 @@
     context.bench.news(number, FrameKind.PONG, manifest_version=version)
 
 
+def catch_up(context, answers, waiting):
+    """Lets time pass once after half a second in which nothing was read."""
+    bench = context.bench
+    bench.now_s += 0.5
+    node = SimpleNamespace(
+        clock=lambda: bench.now_s,
+        inlets=[Inlet(answers, waiting)],
+    )
+    pass_time(node, bench.core)
+
+
+@when("the balancer is busy for 0.5 s while the agent's answer waits")
+def step_busy(context):
+    bench = context.bench
+    first = bench.outlet.sent[0][0]
+    numbers = [n for n in (1, 2, 3) if agent_ip(n) == first]
+    catch_up(context, lambda: bench.news(numbers[0], FrameKind.HELD), 1)
+
+
+@when('the balancer is busy for 0.5 s while more waits than it reads at once')
+def step_busier(context):
+    catch_up(context, lambda: None, DRAIN_MAX)
+
+
 @then('the frames sent are {kinds}')
 def step_kinds(context, kinds):
     found = context.bench.kinds_sent()
     assert found == kinds.split(', '), found
 
 
-@then('{count:d} SEARCH frames were sent')
-def step_searches(context, count):
-    assert context.bench.kinds_sent() == ['SEARCH'] * count
+@then('{count:d} {kind} frames were sent')
+def step_count(context, count, kind):
+    found = context.bench.kinds_sent()
+    assert found == [kind] * count, found
 
 
 @then("the first frame names {count:d} candidates and the service's digest")
