--- a/cumindrift/fleet/directory.py
+++ b/cumindrift/fleet/directory.py
@@ -1,8 +1,14 @@
 """What a balancer believes of manifest, agents and evacuated data centres."""
 
+from itertools import islice
+
 from attrs import define, field
 
 from cumindrift.fleet.manifest import Manifest
+from cumindrift.fleet.ring import HomeRing
+
+# Agents that know a flow's holder: one may be gone.
+HOMES = 2
 
 
 @define(frozen=True, slots=True)
@@ -28,6 +34,7 @@
     evacuated: frozenset[str] = frozenset()
     has_agents: bool = False
     has_evacuations: bool = False
+    ring: HomeRing = field(factory=HomeRing)
     _by_service: dict[str, tuple[AgentEntry, ...]] = field(factory=dict)
 
     @property
@@ -51,6 +58,7 @@
         """Takes the entries of all agents, by the name of their node."""
         self.agents = agents
         self.has_agents = True
+        self.ring = HomeRing(self.agent_ips())
         self._by_service.clear()
 
     def take_evacuations(self, data_centres: frozenset[str]) -> None:
@@ -72,6 +80,10 @@
             self._by_service[service] = found
         return found
 
+    def homes_of(self, flow_key: bytes) -> tuple[str, ...]:
+        """Returns the agents that shall know who holds a flow."""
+        return tuple(islice(self.ring.order(flow_key), HOMES))
+
     def agent_ips(self) -> frozenset[str]:
         """Returns the addresses of every agent, of whatever service."""
         return frozenset(entry.ip for entry in self.agents.values())
--- a/cumindrift/steering/agent/core.py
+++ b/cumindrift/steering/agent/core.py
@@ -8,13 +8,15 @@
 from cumindrift.metric import OPEN_HOPS, OPEN_SECONDS, RESPONSE_SECONDS
 from cumindrift.steering.agent.flow import Flow
 from cumindrift.steering.agent.heartbeat import Heartbeat
+from cumindrift.steering.agent.homes import HomeBook
 from cumindrift.steering.agent.opener import Opener
 from cumindrift.steering.agent.prober import Prober
 from cumindrift.steering.agent.recall import Recall
+from cumindrift.steering.agent.scout import Scout
 from cumindrift.steering.agent.station import AgentStation
 from cumindrift.steering.agent.target import BeatEffect, Refusal
 from cumindrift.steering.agent.vigil import TargetVigil
-from cumindrift.steering.frame import Carried, FrameKind
+from cumindrift.steering.frame import Carried, FrameKind, News
 from cumindrift.steering.packet import FlowPacket
 
 EXPIRE_PERIOD_S = 5.0
@@ -38,6 +40,8 @@
     opener: Opener = field(init=False)
     prober: Prober = field(init=False)
     recall: Recall = field(init=False)
+    book: HomeBook = field(init=False)
+    scout: Scout = field(init=False)
     _expire_s: float = 0.0
     _settle_s: float = 0.0
     _called_s: float = 0.0
@@ -48,6 +52,8 @@
         self.opener = Opener(self.station, self.vigil)
         self.prober = Prober(self.station)
         self.recall = Recall(self.station)
+        self.book = HomeBook(self.station)
+        self.scout = Scout(self.station, self.book)
 
     def on_carried(self, carried: Carried, now_s: float) -> None:
         """Takes a client's packet from a balancer or another agent."""
@@ -66,9 +72,18 @@
         )
         if carried.kind is FrameKind.OPEN:
             self.opener.take(carried, packet, now_s)
+        elif carried.kind is FrameKind.SEEK:
+            self.scout.seek(carried, packet, now_s)
         else:
             self._take_within(carried, packet, now_s)
 
+    def on_news(self, ip: str, news: News, now_s: float) -> None:
+        """Takes what another agent at `ip` tells of a flow."""
+        if news.kind is FrameKind.HOLDS:
+            self.book.take(news.flow_key, ip, now_s)
+        elif news.kind is FrameKind.ABSENT and news.is_sure:
+            self.scout.on_absent(ip, news.flow_key)
+
     def on_target_packet(self, packet: FlowPacket, now_s: float) -> None:
         """Takes what the target sent: an answer, or a bounced packet."""
         if packet.is_reset and not packet.is_bounced:
@@ -157,6 +172,8 @@
         if now_s >= self._settle_s:
             self._settle_s = now_s + SETTLE_PERIOD_S
             self.station.table.settle(now_s)
+            self.scout.expire(now_s)
+            self.book.tick(now_s)
         if now_s >= self._expire_s:
             self._expire_s = now_s + EXPIRE_PERIOD_S
             self.station.table.expire(now_s)
@@ -280,6 +297,7 @@
             self.opener.forget(key)
             station.tell(flow.origin_ip, FrameKind.HELD, key)
             if opening is not None:
+                self.book.on_opened(key, flow, now_s)
                 self._observe_open(key, flow, opening, now_s)
 
     def _observe_open(
--- a/cumindrift/steering/agent/flow.py
+++ b/cumindrift/steering/agent/flow.py
@@ -26,6 +26,8 @@
     opened_s: float
     seen_s: float
     opening: Carried | None = None
+    # The agents that shall know that the target holds the flow.
+    home_ips: tuple[str, ...] = ()
     target_sequence: int | None = None
     is_established: bool = False
     # Believed only because the target did not return a packet.
--- a/cumindrift/steering/agent/opener.py
+++ b/cumindrift/steering/agent/opener.py
@@ -45,7 +45,13 @@
             self._pass_on(carried, packet, refusal)
             return
         station.target.note_open(now_s)
-        flow = Flow(carried.origin_ip, now_s, now_s, carried)
+        flow = Flow(
+            carried.origin_ip,
+            now_s,
+            now_s,
+            carried,
+            carried.home_ips,
+        )
         flow.client_packet = packet
         station.table.add(key, flow)
         self._waiting[key] = now_s
--- a/cumindrift/steering/agent/port.py
+++ b/cumindrift/steering/agent/port.py
@@ -78,13 +78,15 @@
     def _take_carried(
         self,
         message: Carried | News,
-        _ip: str,
+        ip: str,
         now_s: float,
     ) -> bool:
         if isinstance(message, Carried):
+            message.sender_ip = ip
             self._core.on_carried(message, now_s)
-            return True
-        return False
+        else:
+            self._core.on_news(ip, message, now_s)
+        return True
 
 
 class TargetCheck(Child):
--- a/cumindrift/steering/agent/prober.py
+++ b/cumindrift/steering/agent/prober.py
@@ -95,12 +95,12 @@
         *,
         is_certain: bool = False,
     ) -> None:
-        """Tells the balancer that this target does not hold the flow."""
+        """Tells whoever asked that this target does not hold the flow."""
         station = self.station
         key = packet.flow_key
         if carried.kind is FrameKind.SEARCH:
             station.tell(
-                carried.origin_ip,
+                carried.sender_ip,
                 FrameKind.ABSENT,
                 key,
                 is_certain=is_certain,
--- a/cumindrift/steering/balancer/core.py
+++ b/cumindrift/steering/balancer/core.py
@@ -46,7 +46,7 @@
             self.service_endpoint,
             self.random,
         )
-        self.seeker = Seeker(self.station)
+        self.seeker = Seeker(self.station, self.roll)
 
     def on_packet(self, octets: bytes, now_s: float) -> None:
         """Takes a packet that a router sent here."""
@@ -83,7 +83,8 @@
         if now_s >= self._expire_s:
             self._expire_s = now_s + EXPIRE_PERIOD_S
             self._expire(now_s)
-        return self.placer.tick(now_s)
+        is_placing = self.placer.tick(now_s)
+        return self.seeker.tick(now_s) or is_placing
 
     def _expire(self, now_s: float) -> None:
         station = self.station
@@ -119,9 +120,12 @@
 
 @takers.register('ABSENT')
 def _take_absent(core: Director, ip: str, news: News, now_s: float) -> None:
-    is_opening = core.placer.on_passed(ip, news.flow_key, now_s)
-    if not is_opening and news.is_sure:
-        core.seeker.on_absent(ip, news.flow_key)
+    core.placer.on_passed(ip, news.flow_key, now_s)
+
+
+@takers.register('NOWHERE')
+def _take_nowhere(core: Director, ip: str, news: News, now_s: float) -> None:
+    core.seeker.on_nowhere(news.flow_key)
 
 
 @takers.register('RETURNED')
--- a/cumindrift/steering/balancer/placer.py
+++ b/cumindrift/steering/balancer/placer.py
@@ -61,16 +61,14 @@
         """Takes note that the SYN has been answered."""
         self.waiting.pop(key, None)
 
-    def on_passed(self, ip: str, key: bytes, now_s: float) -> bool:
-        """Takes note that an agent passed a SYN on; False if none waits."""
+    def on_passed(self, ip: str, key: bytes, now_s: float) -> None:
+        """Takes note that an agent passed a SYN on."""
         hint = self.waiting.get(key)
-        if hint is None:
-            return False
-        # The next agent has as long again.
-        self.roll.avoid(ip, now_s)
-        hint.tried.add(ip)
-        hint.sent_s = now_s
-        return True
+        if hint is not None:
+            # The next agent has as long again.
+            self.roll.avoid(ip, now_s)
+            hint.tried.add(ip)
+            hint.sent_s = now_s
 
     def on_refused(
         self,
@@ -207,5 +205,6 @@
             service_digest=service_digest(hint.service),
             cold_rate=manifest.cold_rates.get(hint.service, 0.0),
             candidate_ips=candidate_ips,
+            home_ips=self.station.directory.homes_of(packet.flow_key),
         )
         self.station.outlet.carry(hint.agent_ip, carried)
--- a/cumindrift/steering/balancer/search.py
+++ b/cumindrift/steering/balancer/search.py
@@ -1,36 +1,37 @@
-"""Searches for the holder of a flow among all agents."""
+"""One search for the holder of a flow, as the balancer that asked sees it."""
+
+from collections.abc import Iterator
 
 from attrs import define, field
 
 from cumindrift.steering.packet import FlowPacket
 
-# A packet that comes this long after the last search starts another.
+# A packet that comes this long after the last question asks again.
 SEARCH_S = 0.15
 WAITING_MAX = 8
 
 
 @define(slots=True, eq=False, repr=False)
 class Search:
-    """One search: who was asked, who does not hold the flow.
+    """Whom to ask next, and the packets that wait for the end.
 
-    Packets of the flow that come meanwhile wait for its end.
+    `scout_ips` yields the flow's homes first, then all other agents;
+    `asked` are the agents that a scout asks.
     """
 
     packet: FlowPacket
     started_s: float
     asked: frozenset[str]
-    absent: set[str] = field(factory=set)
+    scout_ips: Iterator[str]
+    sent_s: float = 0.0
+    ask_count: int = 0
     waiting: list[FlowPacket] = field(factory=list)
 
     def is_running(self, now_s: float) -> bool:
         """Tells whether answers may still come."""
-        return now_s - self.started_s < SEARCH_S
+        return now_s - self.sent_s < SEARCH_S
 
     def wait(self, packet: FlowPacket) -> None:
         """Keeps a packet until the holder is known."""
         if len(self.waiting) < WAITING_MAX:
             self.waiting.append(packet)
-
-    def is_absent_at(self, agent_ips: frozenset[str]) -> bool:
-        """Tells whether each of these agents said that it has no such flow."""
-        return agent_ips <= self.absent
--- a/cumindrift/steering/balancer/seeker.py
+++ b/cumindrift/steering/balancer/seeker.py
@@ -4,14 +4,19 @@
 
 from cumindrift.code import ResultCode
 from cumindrift.steering.balancer.hint import Hint
+from cumindrift.steering.balancer.roll import AgentRoll
 from cumindrift.steering.balancer.search import Search
 from cumindrift.steering.balancer.station import BalancerStation
-from cumindrift.steering.frame import FrameKind
+from cumindrift.steering.frame import Carried, FrameKind
 from cumindrift.steering.packet import FlowPacket
 
 SEARCHES_MAX = 16_384
 # A search that ended so long ago needs no memory.
 KEPT_S = 5.0
+# Agents that live answer within this, wherever they stand. A second one is
+# asked then; later the client's own copies of the packet ask again.
+ANSWER_WITHIN_S = 0.06
+ASKS_AT_ONCE = 2
 
 
 @define(slots=True, eq=False, repr=False)
@@ -19,26 +24,75 @@
     """Searches for holders of flows, and proves that a flow has none."""
 
     station: BalancerStation
+    roll: AgentRoll
     searches: dict[bytes, Search] = field(factory=dict)
     # Denied by every agent of a list that may be older than the search.
     unproved: dict[bytes, Search] = field(factory=dict)
 
     def search(self, packet: FlowPacket, now_s: float) -> None:
-        """Asks every agent for the holder of a flow."""
+        """Has an agent find the holder of a flow."""
         key = packet.flow_key
         station = self.station
         search = self.searches.get(key)
-        if search is not None and search.is_running(now_s):
-            search.wait(packet)
+        if search is not None:
+            if search.is_running(now_s):
+                search.wait(packet)
+            else:
+                search.packet = packet
+                self._ask(search, now_s)
             return
-        agent_ips = station.directory.agent_ips()
+        directory = station.directory
+        agent_ips = directory.agent_ips()
         if not agent_ips or len(self.searches) >= SEARCHES_MAX:
             station.count(ResultCode.PACKET_NO_TARGET)
             return
-        station.note('flow-searched', key, agents=len(agent_ips))
-        self.searches[key] = Search(packet, now_s, agent_ips)
-        for ip in agent_ips:
-            station.carry_within(FrameKind.SEARCH, ip, packet, None)
+        order = directory.ring.order(key)
+        search = Search(packet, now_s, agent_ips, order)
+        self.searches[key] = search
+        self._ask(search, now_s)
+
+    def tick(self, now_s: float) -> bool:
+        """Asks another agent for the flows that nobody answered for.
+
+        True while an answer may come.
+        """
+        is_waiting = False
+        for search in self.searches.values():
+            if search.ask_count < ASKS_AT_ONCE:
+                is_waiting = True
+                if now_s - search.sent_s >= ANSWER_WITHIN_S:
+                    self._ask(search, now_s)
+        return is_waiting
+
+    def _ask(self, search: Search, now_s: float) -> None:
+        """Sends the search to the next agent that is not silent."""
+        station = self.station
+        scout_ip = self._next_scout(search)
+        search.sent_s = now_s
+        search.ask_count += 1
+        station.note(
+            'flow-searched',
+            search.packet.flow_key,
+            scout=scout_ip,
+            agents=len(search.asked),
+            asked=search.ask_count,
+        )
+        carried = Carried(
+            FrameKind.SEEK,
+            station.ip,
+            search.packet.octets,
+            candidate_ips=tuple(search.asked),
+        )
+        station.outlet.carry(scout_ip, carried)
+
+    def _next_scout(self, search: Search) -> str:
+        for ip in search.scout_ips:
+            if not self.roll.is_silent(ip):
+                return ip
+        # All have been asked or are silent: from the start again.
+        order = self.station.directory.ring.order(search.packet.flow_key)
+        search.scout_ips = order
+        return next(order, '')
 
     def on_held(self, key: bytes, hint: Hint, now_s: float) -> None:
         """Takes note of a flow's holder, and sends on what waited for it."""
@@ -61,14 +115,10 @@
                 hint,
             )
 
-    def on_absent(self, ip: str, key: bytes) -> None:
-        """Takes an agent's word that it does not hold a flow."""
-        search = self.searches.get(key)
-        if search is None:
-            return
-        search.absent.add(ip)
-        if search.is_absent_at(self.station.directory.agent_ips()):
-            self.searches.pop(key)
+    def on_nowhere(self, key: bytes) -> None:
+        """Takes a scout's word that all agents asked deny a flow."""
+        search = self.searches.pop(key, None)
+        if search is not None:
             self.unproved[key] = search
             self.station.outlet.verify_agents()
 
@@ -84,7 +134,7 @@
             if search.started_s > asked_s:
                 continue
             self.unproved.pop(key)
-            if search.is_absent_at(agent_ips):
+            if agent_ips <= search.asked:
                 station.note(
                     'flow-reset',
                     key,
--- a/cumindrift/steering/frame.py
+++ b/cumindrift/steering/frame.py
@@ -10,7 +10,7 @@
 from cumindrift.steering.packet import FLOW_KEY_BYTES
 
 HOPS_MAX = 8
-_CARRIED = Struct('>BBBx4sQQIf')
+_CARRIED = Struct('>BBBx4sQQIfH')
 _NEWS = Struct(f'>BBxx{FLOW_KEY_BYTES}sQQHHHH')
 _IP_BYTES = 4
 # Stands where news is about no flow.
@@ -29,6 +29,7 @@
     KNOWN = 2
     SEARCH = 3
     PING = 4
+    SEEK = 5
     # Towards a balancer.
     HELD = 11
     ABSENT = 12
@@ -36,6 +37,9 @@
     REFUSED = 14
     ENDED = 15
     PONG = 16
+    NOWHERE = 17
+    # Between agents, beside ABSENT.
+    HOLDS = 18
 
 
 @define(slots=True, eq=False, repr=False)
@@ -43,8 +47,10 @@
     """A client's packet on its way to a target.
 
     `origin_ip` is the balancer that took the packet, through all hops.
-    `candidate_ips` are the agents to try after this one. `incarnation` is
-    that of the target believed to hold the flow, 0 when nobody knows.
+    `candidate_ips` are the agents to try after this one, or all to ask.
+    `incarnation` is that of the target believed to hold the flow, 0 when
+    nobody knows. `home_ips` are the agents that shall know the holder.
+    `sender_ip` is where this hop came from, which the frame does not say.
     """
 
     kind: FrameKind
@@ -57,6 +63,8 @@
     # New flows a second that a cold target of the service bears; 0: any.
     cold_rate: float = 0.0
     candidate_ips: tuple[str, ...] = ()
+    home_ips: tuple[str, ...] = ()
+    sender_ip: str = ''
 
 
 @define(frozen=True, slots=True, eq=False, repr=False)
@@ -93,16 +101,17 @@
     head = _CARRIED.pack(
         carried.kind,
         carried.hop_count,
-        len(carried.candidate_ips),
+        len(carried.home_ips),
         inet_aton(carried.origin_ip),
         carried.incarnation,
         carried.manifest_version,
         carried.service_digest,
         carried.cold_rate,
+        len(carried.candidate_ips),
     )
-    if carried.candidate_ips:
-        tail = b''.join(map(inet_aton, carried.candidate_ips))
-        return head + tail + carried.packet
+    ips = carried.candidate_ips + carried.home_ips
+    if ips:
+        return head + b''.join(map(inet_aton, ips)) + carried.packet
     return head + carried.packet
 
 
@@ -136,8 +145,9 @@
 def _decode_carried(octets: bytes) -> Carried:
     head = _CARRIED.unpack_from(octets)
     start = _CARRIED.size
-    packet_at = start + head[2] * _IP_BYTES
-    candidate_ips = tuple(
+    candidate_count = head[8]
+    packet_at = start + (candidate_count + head[2]) * _IP_BYTES
+    ips = tuple(
         inet_ntoa(octets[place : place + _IP_BYTES])
         for place in range(start, packet_at, _IP_BYTES)
     )
@@ -150,7 +160,8 @@
         head[5],
         head[6],
         head[7],
-        candidate_ips,
+        ips[:candidate_count],
+        ips[candidate_count:],
     )
 
 
--- a/features/builders/node.py
+++ b/features/builders/node.py
@@ -132,6 +132,7 @@
         octets,
         manifest_version=3,
         service_digest=service_digest(SERVICE),
+        sender_ip=BALANCER_IP,
     )
     return evolve(plain, **changes)
 
--- a/features/node_balancer.feature
+++ b/features/node_balancer.feature
@@ -88,37 +88,39 @@
     And the balancer is busy for 0.5 s while more waits than it reads at once
     Then 1 OPEN frames were sent
 
-  Scenario: A flow without a hint is searched for among all agents
+  Scenario: A flow without a hint is searched for by an agent
     Given a balancer that knows 3 agents
     When the client sends data
     And the client sends data
     And agent 3 says that it holds the flow
-    Then the frames sent are SEARCH, SEARCH, SEARCH, KNOWN
+    Then the frames sent are SEEK, KNOWN
     And the last frame goes to agent 3
 
   Scenario: A search includes agents of services that the route left
     Given a balancer that knows 3 agents
     And a manifest that sends the address to another service
     When the client sends data
-    Then the frames sent are SEARCH, SEARCH, SEARCH
+    Then the frames sent are SEEK
+    And the search names 3 agents
 
   Scenario: A search that found nobody starts again with the next packet
     Given a balancer that knows 3 agents
     When the client sends data
-    And 0.2 s go by
+    And 0.3 s go by
     And the client sends data
-    Then 6 SEARCH frames were sent
+    Then 3 SEEK frames were sent
+    And each went to another agent
 
   Scenario: A packet that comes back is searched for
     Given a balancer that knows 3 agents
     And a flow that agent 2 holds
     When agent 2 returns data of the flow
-    Then the frames sent are SEARCH, SEARCH, SEARCH
+    Then the frames sent are SEEK
 
   Scenario: A flow that every agent denies is reset once the list is as of now
     Given a balancer that knows 3 agents
     When the client sends data
-    And every agent says for sure that it does not hold the flow
+    And the scout says that all agents deny the flow
     Then no flow is reset yet
     When the list of agents is verified
     Then the client's flow is reset at once
@@ -131,10 +133,10 @@
     Then no flow is reset yet
 
     Examples:
-      | what                                                        |
-      | all agents but one say that they do not hold the flow       |
-      | every agent denies the flow, one of them unsure             |
-      | every agent denies the flow, and another agent has appeared |
+      | what                                                                |
+      | 0.2 s go by                                                         |
+      | the scout's own target does not hold the flow                       |
+      | the scout says that all agents deny it, and another one has appeared |
 
   Scenario: News of a newer manifest makes the balancer ask for it
     Given a balancer that knows 3 agents
--- a/features/steps/node_balancer_steps.py
+++ b/features/steps/node_balancer_steps.py
@@ -118,31 +118,19 @@
     context.bench.news(number, FrameKind.RETURNED, octets)
 
 
-def deny(context, numbers, unsure=()):
-    """Lets agents say that they do not hold the flow."""
-    for number in numbers:
-        is_sure = number not in unsure
-        context.bench.news(number, FrameKind.ABSENT, is_sure=is_sure)
+@when('the scout says that all agents deny the flow')
+def step_nowhere(context):
+    context.bench.news(1, FrameKind.NOWHERE, is_sure=True)
 
 
-@when('every agent says for sure that it does not hold the flow')
-def step_all_deny(context):
-    deny(context, (1, 2, 3))
+@when("the scout's own target does not hold the flow")
+def step_scout_absent(context):
+    context.bench.news(1, FrameKind.ABSENT, is_sure=True)
 
 
-@when('all agents but one say that they do not hold the flow')
-def step_two_deny(context):
-    deny(context, (1, 2))
-
-
-@when('every agent denies the flow, one of them unsure')
-def step_unsure(context):
-    deny(context, (1, 2, 3), unsure=(2,))
-
-
-@when('every agent denies the flow, and another agent has appeared')
+@when('the scout says that all agents deny it, and another one has appeared')
 def step_appeared(context):
-    deny(context, (1, 2, 3))
+    step_nowhere(context)
     context.bench.put_agents(4)
 
 
@@ -193,6 +181,17 @@
     assert found == [kind] * count, found
 
 
+@then('the search names {count:d} agents')
+def step_names(context, count):
+    assert len(context.bench.outlet.sent[0][1].candidate_ips) == count
+
+
+@then('each went to another agent')
+def step_spread(context):
+    ips = [ip for ip, _ in context.bench.outlet.sent]
+    assert len(set(ips)) == len(ips), ips
+
+
 @then("the first frame names {count:d} candidates and the service's digest")
 def step_candidates(context, count):
     _, message = context.bench.outlet.sent[0]
--- a/features/steps/node_process_steps.py
+++ b/features/steps/node_process_steps.py
@@ -4,6 +4,7 @@
 import os
 import subprocess
 import sys
+from contextlib import suppress
 from http.client import HTTPConnection
 from pathlib import Path
 from signal import SIGTERM
@@ -179,6 +180,9 @@
 
 @then('it holds its bundle open')
 def step_bundle_open(context):
-    open_files = Path(f'/proc/{context.process.pid}/fd')
-    names = {str(place.readlink()) for place in open_files.iterdir()}
+    names = set()
+    for place in Path(f'/proc/{context.process.pid}/fd').iterdir():
+        # Connections come and go meanwhile.
+        with suppress(FileNotFoundError):
+            names.add(str(place.readlink()))
     assert str(context.log.parent / 'target/node.bundle') in names, names
--- a/features/steps/node_wire_steps.py
+++ b/features/steps/node_wire_steps.py
@@ -32,8 +32,10 @@
     'born': 1790000000000,
 }
 FRAMES = {
-    'a SYN': opening(cold_rate=4.0),
-    'data in a search': carried(b'x' * 40, FrameKind.SEARCH, hop_count=2),
+    'a SYN': opening(cold_rate=4.0, home_ips=('10.1.2.1',), sender_ip=''),
+    'data in a search': carried(
+        b'x' * 40, FrameKind.SEARCH, hop_count=2, sender_ip=''
+    ),
     'news with a packet': News(
         FrameKind.RETURNED,
         flow_key(),
