A search that goes on asks for agents that came meanwhile

The list is read with each question now; a reset still needs that every scout's list held all agents. Test: features/node_balancer.feature, failed first.

--- a/cumindrift/steering/balancer/core.py
+++ b/cumindrift/steering/balancer/core.py
@@ -13,7 +13,7 @@
 from cumindrift.steering.balancer.roll import AgentRoll
 from cumindrift.steering.balancer.seeker import Seeker
 from cumindrift.steering.balancer.station import BalancerStation
-from cumindrift.steering.frame import FrameKind, News
+from cumindrift.steering.frame import News
 from cumindrift.steering.packet import FlowPacket
 
 EXPIRE_PERIOD_S = 5.0
@@ -62,12 +62,7 @@
             self.seeker.search(packet, now_s)
             return
         hint.seen_s = now_s
-        self.station.carry_within(
-            FrameKind.KNOWN,
-            hint.agent_ip,
-            packet,
-            hint,
-        )
+        self.station.carry_known(packet, hint)
 
     def on_news(self, ip: str, news: News, now_s: float) -> None:
         """Takes what the agent at `ip` tells."""
--- a/cumindrift/steering/balancer/search.py
+++ b/cumindrift/steering/balancer/search.py
@@ -16,7 +16,7 @@
     """Whom to ask next, and the packets that wait for the end.
 
     `scout_ips` yields the flow's homes first, then all other agents;
-    `asked` are the agents that a scout asks.
+    `asked` are the agents that every scout was told to ask.
     """
 
     packet: FlowPacket
--- a/cumindrift/steering/balancer/seeker.py
+++ b/cumindrift/steering/balancer/seeker.py
@@ -68,31 +68,35 @@
         """Sends the search to the next agent that is not silent."""
         station = self.station
         scout_ip = self._next_scout(search)
+        agent_ips = station.directory.agent_ips()
+        # An earlier scout may be the one that answers.
+        search.asked &= agent_ips
         search.sent_s = now_s
         search.ask_count += 1
         station.note(
             'flow-searched',
             search.packet.flow_key,
             scout=scout_ip,
-            agents=len(search.asked),
+            agents=len(agent_ips),
             asked=search.ask_count,
         )
         carried = Carried(
             FrameKind.SEEK,
             station.ip,
             search.packet.octets,
-            candidate_ips=tuple(search.asked),
+            candidate_ips=tuple(agent_ips),
         )
         station.outlet.carry(scout_ip, carried)
 
     def _next_scout(self, search: Search) -> str:
+        """Returns the next agent to ask: a home, then any that answers."""
         for ip in search.scout_ips:
             if not self.roll.is_silent(ip):
                 return ip
-        # All have been asked or are silent: from the start again.
-        order = self.station.directory.ring.order(search.packet.flow_key)
-        search.scout_ips = order
-        return next(order, '')
+        # All were asked or are silent: once more from the first home.
+        ring = self.station.directory.ring
+        search.scout_ips = ring.order(search.packet.flow_key)
+        return next(search.scout_ips, '')
 
     def on_held(self, key: bytes, hint: Hint, now_s: float) -> None:
         """Takes note of a flow's holder, and sends on what waited for it."""
@@ -108,12 +112,7 @@
             took_s=round(now_s - search.started_s, 4),
         )
         for packet in search.waiting:
-            station.carry_within(
-                FrameKind.KNOWN,
-                hint.agent_ip,
-                packet,
-                hint,
-            )
+            station.carry_known(packet, hint)
 
     def on_nowhere(self, key: bytes) -> None:
         """Takes a scout's word that all agents asked deny a flow."""
--- a/cumindrift/steering/balancer/station.py
+++ b/cumindrift/steering/balancer/station.py
@@ -17,18 +17,12 @@
     directory: Directory
     hints: HintTable = field(factory=HintTable, kw_only=True)
 
-    def carry_within(
-        self,
-        kind: FrameKind,
-        ip: str,
-        packet: FlowPacket,
-        hint: Hint | None,
-    ) -> None:
-        """Sends a packet after the SYN to an agent."""
+    def carry_known(self, packet: FlowPacket, hint: Hint) -> None:
+        """Sends a packet after the SYN to the agent that holds its flow."""
         carried = Carried(
-            kind,
+            FrameKind.KNOWN,
             self.ip,
             packet.octets,
-            incarnation=hint.incarnation if hint else 0,
+            incarnation=hint.incarnation,
         )
-        self.outlet.carry(ip, carried)
+        self.outlet.carry(hint.agent_ip, carried)
--- a/features/node_balancer.feature
+++ b/features/node_balancer.feature
@@ -111,6 +111,17 @@
     Then 3 SEEK frames were sent
     And each went to another agent
 
+  Scenario: A search that goes on includes agents that came meanwhile
+    Given a balancer that knows 3 agents
+    When the client sends data
+    And another agent has appeared
+    And 0.3 s go by
+    And the client sends data
+    Then the last search names 4 agents
+    When the scout says that all agents deny the flow
+    And the list of agents is verified
+    Then no flow is reset yet
+
   Scenario: A packet that comes back is searched for
     Given a balancer that knows 3 agents
     And a flow that agent 2 holds
--- a/features/steps/node_balancer_steps.py
+++ b/features/steps/node_balancer_steps.py
@@ -186,6 +186,16 @@
     assert len(context.bench.outlet.sent[0][1].candidate_ips) == count
 
 
+@when('another agent has appeared')
+def step_another(context):
+    context.bench.put_agents(4)
+
+
+@then('the last search names {count:d} agents')
+def step_names_last(context, count):
+    assert len(context.bench.outlet.sent[-1][1].candidate_ips) == count
+
+
 @then('each went to another agent')
 def step_spread(context):
     ips = [ip for ip, _ in context.bench.outlet.sent]
