--- a/cumindrift/quickstart.py
+++ b/cumindrift/quickstart.py
@@ -12,6 +12,7 @@
 import sys
 from collections.abc import Callable
 from importlib import import_module
+from signal import SIG_IGN, SIGHUP, signal
 from types import (
     CodeType,
     FunctionType,
@@ -21,21 +22,30 @@
 )
 from typing import Any
 
+# The settings are read later anyway, and nobody takes the signal yet.
+signal(SIGHUP, SIG_IGN)
 # Everything that is loaded stays, so looking for garbage meanwhile is lost.
 gc.disable()
 
 
+# The modules that something small stands for.
+standing: set[str] = set()
+
+
 def stand_in(name: str, **members: Any) -> None:
     """Puts a small module in place of one that nothing here uses."""
+    if name in sys.modules:
+        return
     module = ModuleType(name)
     for member, content in members.items():
         setattr(module, member, content)
-    sys.modules.setdefault(name, module)
+    sys.modules[name] = module
+    standing.add(name)
 
 
 def stand_aside(*names: str) -> None:
     """Forgets the modules that stood in place of others."""
-    for name in names:
+    for name in standing.intersection(names):
         sys.modules.pop(name)
 
 
--- a/cumindrift/steering/agent/core.py
+++ b/cumindrift/steering/agent/core.py
@@ -237,12 +237,16 @@
                 station.outlet.reset(key, packet.acknowledged)
             station.tell(flow.origin_ip, FrameKind.ENDED, key)
         else:
-            station.tell(
-                flow.origin_ip,
-                FrameKind.RETURNED,
-                key,
-                packet.octets,
-            )
+            self._give_back(key, flow, packet)
+
+    def _give_back(self, key: bytes, flow: Flow, packet: FlowPacket) -> None:
+        """Has a flow searched for that this target may never have held."""
+        self.station.tell(
+            flow.origin_ip,
+            FrameKind.RETURNED,
+            key,
+            packet.octets,
+        )
 
     def _take_reset(self, packet: FlowPacket, now_s: float) -> None:
         """Takes a reset of the target, or of a machine without one.
@@ -268,13 +272,7 @@
             station.tell(flow.origin_ip, FrameKind.ENDED, key)
             self.vigil.on_flow_ended(now_s)
         elif flow.is_guessed:
-            last = flow.client_packet
-            station.tell(
-                flow.origin_ip,
-                FrameKind.RETURNED,
-                key,
-                last.octets,
-            )
+            self._give_back(key, flow, flow.client_packet)
         else:
             self.opener.decline(flow, flow.client_packet, Refusal.GONE)
 
@@ -325,14 +323,16 @@
         )
 
     def _end(self, key: bytes, packet: FlowPacket | None = None) -> None:
-        """Resets a flow whose target is gone for certain."""
+        """Resets a flow whose target, which held it, is gone for certain."""
         station = self.station
         flow = station.table.remove(key)
         if flow is None:
             return
         self.opener.forget(key)
         last = packet or flow.client_packet
-        if flow.is_established and last is not None:
+        if flow.is_guessed:
+            self._give_back(key, flow, last)
+        elif flow.is_established and last is not None:
             self._note_reset(key, 'target-gone')
             station.outlet.reset(key, last.acknowledged)
             station.tell(flow.origin_ip, FrameKind.ENDED, key)
--- a/cumindrift/steering/balancer/core.py
+++ b/cumindrift/steering/balancer/core.py
@@ -106,6 +106,10 @@
     hint = hints.get(key)
     if hint is None:
         hint = hints.keep(key, Hint(ip, now_s))
+    elif hint.is_confirmed and not news.is_sure:
+        # It may be a guess; the agent that was believed returns the next
+        # packet if it holds the flow no more.
+        return
     hint.agent_ip = ip
     hint.incarnation = news.incarnation
     hint.is_confirmed = True
--- a/features/node_process.feature
+++ b/features/node_process.feature
@@ -23,3 +23,7 @@
     When the process is told to stop
     Then it ends with exit code 0 within 3 s
     And its log holds node-started, target-beat, node-stopping, node-stopped
+
+  Scenario: A hang-up while a node still loads does not end it
+    When a process that loads a node gets a hang-up
+    Then it goes on
--- a/features/node_reset.feature
+++ b/features/node_reset.feature
@@ -41,3 +41,21 @@
     And data of the flow arrives
     Then the target got 2 packets
     And the balancer is told nothing
+
+  Scenario: A flow that was adopted on silence alone is not reset with its target
+    Given an agent that restarted beside its target
+    When data of an unknown flow arrives in a search
+    And 0.1 s go by
+    And nothing listens at the target any more
+    Then no flow is reset
+    And the balancer is told HELD, RETURNED
+
+  Scenario: A guess does not take the place of what a holder said
+    Given a balancer that knows 3 agents
+    And a flow that agent 2 holds
+    When agent 3 guesses that it holds the flow
+    And the client sends data
+    Then the frame goes to agent 2
+    When agent 1 is sure that it holds the flow
+    And the client sends data
+    Then the last frame goes to agent 1
--- a/features/steps/node_balancer_steps.py
+++ b/features/steps/node_balancer_steps.py
@@ -112,6 +112,16 @@
     context.bench.news(number, FrameKind.HELD)
 
 
+@when('agent {number:d} guesses that it holds the flow')
+def step_guesses(context, number):
+    context.bench.news(number, FrameKind.HELD, is_sure=False)
+
+
+@when('agent {number:d} is sure that it holds the flow')
+def step_sure(context, number):
+    context.bench.news(number, FrameKind.HELD, is_sure=True)
+
+
 @when('agent {number:d} returns data of the flow')
 def step_returns(context, number):
     octets = client_packet(ACK, payload=b'GET', acknowledged=7001)
--- a/features/steps/node_process_steps.py
+++ b/features/steps/node_process_steps.py
@@ -186,3 +186,21 @@
         with suppress(FileNotFoundError):
             names.add(str(place.readlink()))
     assert str(context.log.parent / 'target/node.bundle') in names, names
+
+
+@when('a process that loads a node gets a hang-up')
+def step_hang_up(context):
+    lines = (
+        'from cumindrift import quickstart',
+        'import os, signal',
+        'os.kill(os.getpid(), signal.SIGHUP)',
+    )
+    context.ended = subprocess.run(  # noqa: S603 - our own code
+        [sys.executable, '-c', '\n'.join(lines)],
+        check=False,
+    )
+
+
+@then('it goes on')
+def step_goes_on(context):
+    assert context.ended.returncode == 0, context.ended
--- /dev/null
+++ b/lab/soak/__init__.py
@@ -0,0 +1,1 @@
+"""The soak: real nodes as processes, and faults from outside them."""
--- /dev/null
+++ b/lab/soak/backend.py
@@ -0,0 +1,222 @@
+"""Targets of the soak: flows, heartbeats, crashes and drains."""
+
+import json
+from collections.abc import Callable
+from random import Random
+from socket import AF_INET, SO_REUSEADDR, SOCK_STREAM, SOL_SOCKET, socket
+from time import time
+from typing import Any
+
+from attrs import define, field
+
+from cumindrift.address import Endpoint
+from cumindrift.exchange import HttpExchange, PlainAnswer, PlainRequest
+from cumindrift.platform.packet import read_from_client
+from cumindrift.port import DatagramPort
+from cumindrift.supervision import Child
+from lab.soak.place import (
+    CONTROL_PORT,
+    DRAIN_S,
+    EVACUATE_S,
+    HEARTBEAT_S,
+    OUTBOUND_PORT,
+    TARGET_PORT,
+)
+from lab.soak.promise import Ledger
+from lab.soak.wire import (
+    ACK,
+    FIN,
+    SYN,
+    answer_to,
+    bounce,
+    is_genuine,
+    make_packet,
+)
+
+_MS_PER_S = 1000
+STATUS_OK = 200
+
+
+@define(slots=True, eq=False)
+class HeldFlow:
+    """A flow as its target has it."""
+
+    sequence: int
+    is_open: bool = False
+    answered: dict[int, bytes] = field(factory=dict)
+
+
+class Backend(Child):
+    """One target on an agent's machine; it outlives its incarnations."""
+
+    def __init__(
+        self,
+        ip: str,
+        service: str,
+        data_centre: str,
+        random: Random,
+        ledger: Ledger,
+        clock: Callable[[], float],
+    ) -> None:
+        """Starts the first incarnation."""
+        super().__init__(channel=f'backend-{ip}')
+        self.ip = ip
+        self.service = service
+        self.data_centre = data_centre
+        self.flows: dict[bytes, HeldFlow] = {}
+        self.is_running = False
+        self.is_draining = False
+        # When the agent acknowledged that it drains; 0 for not yet.
+        self.drained_s = 0.0
+        # Since when its data centre is evacuated; 0 for not.
+        self.evacuated_s = 0.0
+        self.last_ack_s = 0.0
+        # What the time of day of its next start is wrong by.
+        self.clock_step_s = 0.0
+        self._random = random
+        self._ledger = ledger
+        self._clock = clock
+        self._serial = 0
+        self._beat_s = 0.0
+        self._port: DatagramPort | None = None
+        self._listener: socket | None = None
+        self.start_target()
+
+    def start_target(self) -> None:
+        """Starts a new incarnation, which knows no flows."""
+        self._serial += 1
+        self._sequence = 0
+        self._born_ms = int((time() + self.clock_step_s) * _MS_PER_S)
+        self.is_running = True
+        self.is_draining = False
+        self.drained_s = 0.0
+        self._beat_s = 0.0
+        endpoint = Endpoint(self.ip, TARGET_PORT)
+        self._port = DatagramPort(endpoint, self._receive).register(self)
+        self._listener = socket(AF_INET, SOCK_STREAM)
+        self._listener.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+        self._listener.bind(endpoint.pair())
+        self._listener.listen(64)
+
+    def crash(self) -> None:
+        """Ends at once; its flows are gone."""
+        self.is_running = False
+        self.flows.clear()
+        if self._port is not None:
+            self._port.release()
+            self._port.unregister()
+            self._port = None
+            self._listener.close()
+
+    def release(self) -> None:
+        """Closes the sockets."""
+        self.crash()
+
+    def tick(self) -> None:
+        """Sends a heartbeat when one is due."""
+        now_s = self._clock()
+        if self.is_running and now_s >= self._beat_s:
+            self._beat_s = now_s + HEARTBEAT_S * self._random.uniform(0.9, 1.1)
+            self._beat()
+
+    def _beat(self) -> None:
+        self._sequence += 1
+        is_draining = self.is_draining
+        serial = self._serial
+        bare = {
+            'service': self.service,
+            'address': f'{self.ip}:{TARGET_PORT}',
+            'zone': self.data_centre,
+            'version': 'v1',
+            'max_concurrency': 4,
+            'state': 'draining' if is_draining else 'ready',
+            'warmup_left_ms': 0,
+            'sequence': self._sequence,
+            'born': self._born_ms,
+        }
+
+        def on_end(answer: PlainAnswer | None, _was_sent: bool) -> None:
+            is_taken = answer is not None and answer.status == STATUS_OK
+            if is_taken and serial == self._serial:
+                self.last_ack_s = self._clock()
+                if is_draining and not self.drained_s:
+                    self.drained_s = self.last_ack_s
+
+        exchange = HttpExchange(
+            f'beat-{self.ip}-{serial}-{self._sequence}',
+            Endpoint(self.ip, CONTROL_PORT),
+            PlainRequest(
+                'PUT',
+                f'/cumindrift/instances/i-{self.ip}-{serial}',
+                {'Content-Type': 'application/json'},
+                json.dumps(bare).encode(),
+            ),
+            on_end,
+        )
+        exchange.register(self)
+        exchange.start()
+
+    def _receive(self, octets: bytes, _pair: Any) -> None:
+        packet = read_from_client(octets)
+        if packet is None or not is_genuine(octets):
+            self._ledger.breach('bytes', self._clock(), f'at target {self.ip}')
+            return
+        key = packet.flow_key
+        flow = self.flows.get(key)
+        if packet.is_open:
+            self._take_open(packet, flow)
+        elif flow is None:
+            self._send(bounce(octets))
+        elif flow.is_open or packet.acknowledged == flow.sequence + 1:
+            flow.is_open = True
+            self._take_data(packet, flow)
+        else:
+            self._send(bounce(octets))
+
+    def _take_open(self, packet: Any, flow: HeldFlow | None) -> None:
+        now_s = self._clock()
+        if flow is None:
+            flow = HeldFlow(self._random.getrandbits(31))
+            self.flows[packet.flow_key] = flow
+            if self.drained_s and now_s - self.drained_s > DRAIN_S:
+                self._ledger.breach('drain', now_s, self.ip)
+            if self.evacuated_s and now_s - self.evacuated_s > EVACUATE_S:
+                self._ledger.breach('evacuate', now_s, self.ip)
+        self._answer(packet, SYN | ACK, flow.sequence, packet.sequence + 1)
+
+    def _take_data(self, packet: Any, flow: HeldFlow) -> None:
+        if packet.payload_bytes:
+            payload = packet.octets[32:]
+            if packet.sequence not in flow.answered:
+                flow.answered[packet.sequence] = answer_to(payload)
+            body = flow.answered[packet.sequence]
+            acknowledged = packet.sequence + packet.payload_bytes
+            self._answer(packet, ACK, packet.acknowledged, acknowledged, body)
+        if packet.is_last:
+            self._answer(packet, ACK | FIN, packet.acknowledged, 0)
+            self.flows.pop(packet.flow_key, None)
+
+    def _answer(
+        self,
+        packet: Any,
+        flags: int,
+        sequence: int,
+        acknowledged: int,
+        payload: bytes = b'',
+    ) -> None:
+        key = packet.flow_key
+        client = (key[8:12], int.from_bytes(key[:2]))
+        self._send(
+            make_packet(
+                client,
+                flags,
+                sequence,
+                acknowledged,
+                payload,
+                is_answer=True,
+            ),
+        )
+
+    def _send(self, octets: bytes) -> None:
+        if self._port is not None:
+            self._port.send(octets, (self.ip, OUTBOUND_PORT))
--- /dev/null
+++ b/lab/soak/cluster.py
@@ -0,0 +1,169 @@
+"""The nodes of a soak: processes that are started, signalled and restarted."""
+
+import json
+import os
+import subprocess
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
+
+from attrs import define, field
+
+from lab.soak.place import (
+    CONTROL_PORT,
+    DRAIN_S,
+    HEARTBEAT_S,
+    OUTBOUND_PORT,
+    PACKETS_PORT,
+    PEER_PORTS,
+    READY_PORT,
+    RECOVER_S,
+    TARGET_PORT,
+    Site,
+)
+from lab.soak.promise import Ledger
+
+PROJECT = Path(__file__).parents[2]
+RESTART_S = 0.3
+# A node may take this long to end after SIGTERM.
+GRACE_S = 6.0
+
+
+@define(slots=True, eq=False)
+class Node:
+    """One node and its process, which changes."""
+
+    name: str
+    role: str
+    ip: str
+    number: int
+    process: subprocess.Popen | None = None
+    is_paused: bool = False
+    # Whether its process was told to end, or ended by us.
+    is_ending: bool = False
+    ended_s: float = 0.0
+    start_count: int = 0
+
+
+@define(slots=True, eq=False)
+class Cluster:
+    """Starts nodes, and again when they end; knows which it started."""
+
+    site: Site
+    ledger: Ledger
+    clock: Callable[[], float]
+    nodes: list[Node] = field(factory=list)
+
+    def build(self) -> None:
+        """Lists all nodes and starts them."""
+        site = self.site
+        for number in range(site.balancers):
+            ip = site.balancer_ip(number)
+            self.nodes.append(Node(f'front-{number}', 'balancer', ip, number))
+        for number in range(site.agents):
+            ip = site.agent_ip(number)
+            self.nodes.append(Node(f'side-{number}', 'agent', ip, number))
+        for node in self.nodes:
+            self.start(node)
+
+    def start(self, node: Node) -> None:
+        """Starts a node's process with its settings as they are now."""
+        place = self.site.folder / f'{node.name}.toml'
+        place.write_text(self.settings_of(node), 'utf-8')
+        environment = {**os.environ, 'CUMINDRIFT_NODE_FILE': str(place)}
+        node.start_count += 1
+        node.is_ending = False
+        node.is_paused = False
+        with (self.site.folder / f'{node.name}.log').open('ab') as log:
+            node.process = subprocess.Popen(
+                [sys.executable, '-m', 'cumindrift.node'],
+                stdout=log,
+                stderr=log,
+                env=environment,
+                cwd=PROJECT,
+            )
+
+    def signal(self, node: Node, number: int) -> None:
+        """Sends a signal to a node that runs."""
+        if node.process is None or node.process.poll() is not None:
+            return
+        node.is_ending = node.is_ending or number in {SIGKILL, SIGTERM}
+        if number in {SIGSTOP, SIGCONT}:
+            node.is_paused = number == SIGSTOP
+        node.process.send_signal(number)
+
+    def tick(self) -> None:
+        """Starts nodes again that have ended a moment ago."""
+        now_s = self.clock()
+        for node in self.nodes:
+            if node.process is None:
+                if now_s - node.ended_s >= RESTART_S:
+                    self.start(node)
+            elif node.process.poll() is not None:
+                if not node.is_ending:
+                    code = node.process.returncode
+                    detail = f'{node.name} ended by itself with {code}'
+                    self.ledger.breach('process', now_s, detail)
+                node.process = None
+                node.ended_s = now_s
+
+    def heal(self) -> None:
+        """Wakes every node that stands still."""
+        for node in self.nodes:
+            if node.is_paused:
+                self.signal(node, SIGCONT)
+
+    def stop(self) -> None:
+        """Ends every process that was started here, by its id."""
+        self.heal()
+        running = [node for node in self.nodes if node.process is not None]
+        for node in running:
+            self.signal(node, SIGTERM)
+        for node in running:
+            try:
+                node.process.wait(GRACE_S)
+            except subprocess.TimeoutExpired:
+                self.ledger.count('nodes that outlasted their grace time')
+                node.process.kill()
+                node.process.wait()
+
+    def settings_of(self, node: Node) -> str:
+        """Returns a node's settings file, as the users' platform writes it."""
+        site = self.site
+        seeds = [f'{site.balancer_ip(n)}:{CONTROL_PORT}' for n in range(3)]
+        fields = {
+            'node_name': node.name,
+            'role': node.role,
+            'ip': node.ip,
+            'zone': site.data_centre(node.number),
+            'internal_port_range': list(PEER_PORTS),
+            'seed_addrs': seeds,
+            'bootstrap': node.start_count == 0,
+            'heartbeat_ms': int(HEARTBEAT_S * 1000),
+        }
+        listen = {'datagram_addr': PACKETS_PORT, 'ready_addr': READY_PORT}
+        if node.role == 'agent':
+            listen |= {'outbound': OUTBOUND_PORT, 'control': CONTROL_PORT}
+            fields['app'] = f'{node.ip}:{TARGET_PORT}'
+            fields['service'] = site.service(node.number)
+        lines = [
+            f'{key} = {json.dumps(found)}' for key, found in fields.items()
+        ]
+        lines.append('[listen_addrs]')
+        lines.extend(
+            f'{key} = "{node.ip}:{port}"' for key, port in listen.items()
+        )
+        lines.extend(
+            (
+                '[bounds]',
+                f'grace_s = {GRACE_S:g}',
+                f'drain_ms = {DRAIN_S * 1000:g}',
+                f'recovery_s = {RECOVER_S:g}',
+                'addr_reuse_s = 2',
+                'flow_ttl_s = 60',
+                '[platform]',
+                f'address = "{site.proxy(node.ip)}"',
+            ),
+        )
+        return '\n'.join(lines)
--- /dev/null
+++ b/lab/soak/proxy.py
@@ -0,0 +1,174 @@
+"""A loopback proxy between one node and the store, which misbehaves."""
+
+from collections.abc import Callable
+from socket import (
+    AF_INET,
+    SO_LINGER,
+    SO_REUSEADDR,
+    SOCK_STREAM,
+    SOL_SOCKET,
+    create_connection,
+    socket,
+)
+from struct import pack
+from typing import Any
+
+from circuits import Event, Timer, handler
+
+from cumindrift.address import Endpoint
+from cumindrift.port import find_poller
+from cumindrift.registry import Registry
+from cumindrift.supervision import Child
+
+RECEIVE_BYTES = 1024 * 1024
+CONNECT_S = 1.0
+DELAY_S = 0.4
+_RESET = pack('ii', 1, 0)
+
+# Each mood gets the proxy, the octets, which way they go, and the way on.
+proxy_moods: Registry[Callable[..., None]] = Registry('proxy mood')
+
+
+class later(Event):  # noqa: N801 - circuits derives event names from classes
+    """Fired when delayed octets are due."""
+
+
+class StoreProxy(Child):
+    """Passes connections on to the store, as its mood allows."""
+
+    def __init__(self, listen: Endpoint, store: Endpoint) -> None:
+        """Binds at once."""
+        super().__init__(channel=f'proxy-{listen}')
+        self.mood = 'well'
+        self._store = store
+        self._peers: dict[socket, socket] = {}
+        # The sockets towards the store; the others are the node's.
+        self._upstream: set[socket] = set()
+        self._sock = socket(AF_INET, SOCK_STREAM)
+        self._sock.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+        self._sock.setblocking(False)
+        self._sock.bind(listen.pair())
+        self._sock.listen(64)
+
+    def release(self) -> None:
+        """Closes every socket."""
+        self.reset_all()
+        self._sock.close()
+
+    def reset_all(self) -> None:
+        """Resets every connection."""
+        for sock in list(self._peers):
+            if sock in self._peers:
+                sock.setsockopt(SOL_SOCKET, SO_LINGER, _RESET)
+                self._drop(sock)
+
+    def call_later(self, call: Callable[[], None]) -> None:
+        """Calls once after the delay."""
+        Timer(DELAY_S, later(call), self.channel).register(self)
+
+    def send(self, sock: socket, octets: bytes) -> None:
+        """Sends, or gives the connection up."""
+        try:
+            sock.sendall(octets)
+        except OSError:
+            self._drop(sock)
+
+    @handler('later')
+    def _on_later(self, call: Callable[[], None]) -> None:
+        call()
+
+    @handler('started', channel='*')
+    def _on_started(self, *_details: Any) -> None:
+        find_poller(self).addReader(self, self._sock)
+
+    @handler('_read')
+    def _on_read(self, sock: socket) -> None:
+        if sock is self._sock:
+            self._accept()
+            return
+        peer = self._peers.get(sock)
+        if peer is None:
+            return
+        try:
+            octets = sock.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            octets = b''
+        if octets:
+            is_answer = sock in self._upstream
+            proxy_moods.get(self.mood)(self, octets, peer, is_answer)
+        elif self.mood in {'well', 'delayed'}:
+            self._drop(sock)
+        else:
+            find_poller(self).removeReader(sock)
+
+    @handler('_disconnect', '_error')
+    def _on_broken(self, sock: socket, *_details: Any) -> None:
+        self._drop(sock)
+
+    def _accept(self) -> None:
+        try:
+            sock, _pair = self._sock.accept()
+            peer = create_connection(self._store.pair(), CONNECT_S)
+        except OSError:
+            return
+        poller = find_poller(self)
+        for each, other in ((sock, peer), (peer, sock)):
+            each.setblocking(False)
+            self._peers[each] = other
+            poller.addReader(self, each)
+        self._upstream.add(peer)
+
+    def _drop(self, sock: socket) -> None:
+        peer = self._peers.pop(sock, None)
+        self._upstream.discard(sock)
+        if peer is None:
+            return
+        find_poller(self).discard(sock)
+        sock.close()
+        self._drop(peer)
+
+
+@proxy_moods.register('well')
+def pass_on(
+    proxy: StoreProxy,
+    octets: bytes,
+    peer: socket,
+    is_answer: bool,
+) -> None:
+    """Passes everything on."""
+    proxy.send(peer, octets)
+
+
+@proxy_moods.register('silent')
+def swallow(
+    proxy: StoreProxy,
+    octets: bytes,
+    peer: socket,
+    is_answer: bool,
+) -> None:
+    """Passes nothing on, and keeps the connection."""
+
+
+@proxy_moods.register('one-way')
+def swallow_answers(
+    proxy: StoreProxy,
+    octets: bytes,
+    peer: socket,
+    is_answer: bool,
+) -> None:
+    """Lets requests through and no answers."""
+    if not is_answer:
+        proxy.send(peer, octets)
+
+
+@proxy_moods.register('delayed')
+def pass_late(
+    proxy: StoreProxy,
+    octets: bytes,
+    peer: socket,
+    is_answer: bool,
+) -> None:
+    """Passes everything on a while later."""
+    proxy.call_later(lambda: proxy.send(peer, octets))
--- /dev/null
+++ b/lab/soak/run.py
@@ -0,0 +1,91 @@
+"""Runs the soak: seeds, length, faults and size by flags; prints a report.
+
+Example::
+
+    python -m lab.soak.run --seeds=1,2,3 --faults_s=15
+    python -m lab.soak.run --fresh=20 --faults=kill,pause,store
+"""
+
+import sys
+from collections import Counter
+from pathlib import Path
+from random import SystemRandom
+from tempfile import mkdtemp
+
+from absl import app, flags
+from circuits.core.pollers import EPoll
+
+from lab.soak.fault import faults
+from lab.soak.place import Site
+from lab.soak.world import World
+
+_SEEDS = flags.DEFINE_list('seeds', [], 'Seeds to run, one after the other.')
+_FRESH = flags.DEFINE_integer('fresh', 0, 'So many seeds nobody has run.')
+_FAULTS_S = flags.DEFINE_float('faults_s', 15.0, 'Time with faults, a seed.')
+_FAULTS = flags.DEFINE_list('faults', [], 'Only these faults; all if empty.')
+_BALANCERS = flags.DEFINE_integer('balancers', 3, 'Balancers, 2 or more.')
+_AGENTS = flags.DEFINE_integer('agents', 8, 'Agents, each with a target.')
+_CLIENTS = flags.DEFINE_integer('clients', 12, 'Clients.')
+_SLOT = flags.DEFINE_integer('slot', 0, 'Keeps runs side by side apart.')
+_KEEP = flags.DEFINE_string('keep', '', 'Where logs go; else a new folder.')
+SEED_MAX = 10**9
+BROKEN_SHOWN = 12
+
+
+def run_seed(seed: int) -> World:
+    """Runs one seed to its end and returns its world."""
+    folder = Path(_KEEP.value or mkdtemp(prefix=f'soak-{seed}-'))
+    folder.mkdir(parents=True, exist_ok=True)
+    site = Site(
+        _SLOT.value,
+        _BALANCERS.value,
+        _AGENTS.value,
+        _CLIENTS.value,
+        folder,
+    )
+    world = World(site, seed, _FAULTS_S.value, _FAULTS.value)
+    EPoll().register(world)
+    try:
+        world.run()
+    finally:
+        world.cluster.stop()
+        for child in list(world.components):
+            getattr(child, 'release', list)()
+    return world
+
+
+def report(seed: int, world: World) -> str:
+    """Returns what was injected and seen, in lines for people."""
+    injected = Counter(name for _, name in world.injected)
+    ledger = world.ledger
+    lines = [
+        f'seed {seed}: {len(ledger.broken)} promises broken',
+        f'  injected: {dict(sorted(injected.items()))}',
+        f'  seen: {dict(sorted(ledger.counts.items()))}',
+    ]
+    lines.extend(f'  BROKEN {each}' for each in ledger.broken[:BROKEN_SHOWN])
+    if ledger.broken:
+        lines.append(f'  logs: {world.site.folder}')
+    return '\n'.join(lines)
+
+
+def _run(_arguments: list[str]) -> int:
+    unknown = [name for name in _FAULTS.value if name not in faults]
+    if unknown:
+        sys.stderr.write(f'unknown faults {unknown}; {faults.names()}\n')
+        return 2
+    draw = SystemRandom()
+    seeds = [int(seed) for seed in _SEEDS.value]
+    seeds.extend(draw.randrange(SEED_MAX) for _ in range(_FRESH.value))
+    broken_count = 0
+    for seed in seeds:
+        world = run_seed(seed)
+        broken_count += bool(world.ledger.broken)
+        sys.stdout.write(f'{report(seed, world)}\n')
+        sys.stdout.flush()
+    sys.stdout.write(f'{len(seeds)} seeds, {broken_count} with a breach\n')
+    return 1 if broken_count else 0
+
+
+if __name__ == '__main__':
+    app.run(_run)
--- /dev/null
+++ b/lab/soak/world.py
@@ -0,0 +1,183 @@
+"""The world of a soak: everything around the nodes, and the faults' plan."""
+
+from random import Random
+from time import monotonic
+from typing import Any
+
+from circuits import handler
+
+from cumindrift.administration.http import HttpServer
+from cumindrift.supervision import Child
+from cumindrift.ticker import Ticker
+from lab.soak.backend import Backend
+from lab.soak.caller import Caller
+from lab.soak.cluster import Cluster
+from lab.soak.fabric import Fabric
+from lab.soak.fault import faults
+from lab.soak.place import RECOVER_S, SERVICE_ADDRESS, SERVICES, Site
+from lab.soak.promise import Ledger
+from lab.soak.proxy import StoreProxy
+from standin.store import StoreModel, store_routes
+
+TICK_PERIOD_S = 0.02
+# Nodes start and enter themselves meanwhile.
+LEAD_S = 4.0
+# After the faults' ends: time to recover, then time that is judged.
+JUDGED_S = 4.0
+GAP_MIN_S, GAP_MAX_S = 0.1, 1.2
+MANIFEST_STEP = 3
+
+
+class World(Child):
+    """Runs one seed; `report` tells what was done and seen."""
+
+    def __init__(
+        self,
+        site: Site,
+        seed: int,
+        faults_s: float,
+        names: list[str],
+    ) -> None:
+        """Builds everything; nodes start with the loop."""
+        super().__init__(channel='world')
+        self.site = site
+        self.ledger = Ledger()
+        self.injected: list[tuple[float, str]] = []
+        self._random = Random(seed)
+        self._names = names or faults.names()
+        self._start_s = monotonic()
+        self._faults_until_s = LEAD_S + faults_s
+        self._fault_s = LEAD_S
+        self._endings: list[tuple[float, Any]] = []
+        self._is_healed = False
+        self._version = 1
+        self._evacuated: set[str] = set()
+        self.store = StoreModel(self.clock, Random(seed + 1))
+        self.put_manifest(SERVICES[0])
+        HttpServer(self, site.store, (store_routes,), self.clock).register(self)
+        self.cluster = Cluster(site, self.ledger, self.clock)
+        self.targets = [self._build_target(n) for n in range(site.agents)]
+        self.fabric = Fabric(site, Random(seed + 2), self.clock).register(self)
+        self.callers = [self._build_caller(n) for n in range(site.clients)]
+        self.cluster.build()
+        self.proxies = [
+            StoreProxy(site.proxy(node.ip), site.store).register(self)
+            for node in self.cluster.nodes
+        ]
+        Ticker('world', TICK_PERIOD_S, self._tick).register(self)
+
+    def clock(self) -> float:
+        """Returns the seconds since the start."""
+        return monotonic() - self._start_s
+
+    @property
+    def length_s(self) -> float:
+        """Returns how long the whole run takes."""
+        return self._faults_until_s + RECOVER_S + JUDGED_S
+
+    def put_manifest(self, service: str) -> None:
+        """Writes a manifest that sends the address to `service`."""
+        self._version += self._random.randint(1, MANIFEST_STEP)
+        spec = {
+            'version': self._version,
+            'services': [{'name': name} for name in SERVICES],
+            'routes': [
+                {
+                    'hostname': str(SERVICE_ADDRESS.ip),
+                    'path_prefix': f'/{SERVICE_ADDRESS.port}/',
+                    'service': service,
+                }
+            ],
+            'limits': {'idle_timeout_ms': 15000},
+        }
+        self.store.put('config', 'main', spec)
+
+    def evacuate(self, name: str) -> bool:
+        """Empties a data centre; False while one is empty already."""
+        if self._evacuated:
+            return False
+        self._evacuated.add(name)
+        self.store.put('evacuations', name, {})
+        for target in self.targets:
+            if target.data_centre == name:
+                target.evacuated_s = self.clock()
+        return True
+
+    def take_back(self, name: str) -> None:
+        """Lets a data centre serve again."""
+        self._evacuated.discard(name)
+        self.store.remove('evacuations', name)
+        for target in self.targets:
+            target.evacuated_s = 0.0
+
+    def holder_of(self, key: bytes) -> str:
+        """Returns the target that has a flow open, if any has."""
+        for target in self.targets:
+            flow = target.flows.get(key)
+            if target.is_running and flow is not None and flow.is_open:
+                return target.ip
+        return ''
+
+    @handler('started', channel='*')
+    def _on_started(self, *_details: Any) -> None:
+        self.ledger.count('runs')
+
+    def _build_target(self, number: int) -> Backend:
+        site = self.site
+        return Backend(
+            site.agent_ip(number),
+            site.service(number),
+            site.data_centre(number),
+            Random(self._random.random()),
+            self.ledger,
+            self.clock,
+        ).register(self)
+
+    def _build_caller(self, number: int) -> Caller:
+        return Caller(
+            self.site.client_ip(number),
+            Random(self._random.random()),
+            self.ledger,
+            self.clock,
+            self.fabric.send,
+            self.holder_of,
+        ).register(self)
+
+    def _tick(self) -> None:
+        now_s = self.clock()
+        callers = self.callers if now_s >= LEAD_S else []
+        parts = (self.store, self.cluster, self.fabric)
+        for part in (*parts, *self.targets, *callers):
+            part.tick()
+        self._end_faults(now_s)
+        if now_s >= self._faults_until_s and not self._is_healed:
+            self._heal(now_s)
+        elif self._fault_s <= now_s < self._faults_until_s:
+            self._begin_fault(now_s)
+        if now_s >= self.length_s:
+            self.stop()
+
+    def _begin_fault(self, now_s: float) -> None:
+        gap_s = self._random.uniform(GAP_MIN_S, GAP_MAX_S)
+        self._fault_s = now_s + gap_s
+        name = self._random.choice(self._names)
+        self.injected.append((now_s, name))
+        for delay_s, end in faults.get(name)(self, self._random):
+            self._endings.append((now_s + delay_s, end))
+
+    def _end_faults(self, now_s: float) -> None:
+        due = [ending for ending in self._endings if ending[0] <= now_s]
+        for ending in due:
+            self._endings.remove(ending)
+            ending[1]()
+
+    def _heal(self, now_s: float) -> None:
+        """Ends every fault; what is seen later is judged."""
+        self._is_healed = True
+        for _, end in self._endings:
+            end()
+        self._endings.clear()
+        self.cluster.heal()
+        self.put_manifest(SERVICES[0])
+        for caller in self.callers:
+            caller.calm_s = now_s + RECOVER_S
--- /dev/null
+++ b/standin/store.py
@@ -0,0 +1,247 @@
+"""Store stand-in: the users' store with revisions, watches and its faults."""
+
+import json
+from collections import deque
+from collections.abc import Callable
+from itertools import islice
+from random import Random
+from typing import Any
+
+from attrs import define, field
+
+from cumindrift.administration.answer import HttpAnswer, HttpRequest, Later
+from cumindrift.registry import Registry
+
+PAGE_ITEMS = 500
+HISTORY_EVENTS = 4096
+STATUS_OK, STATUS_CREATED = 200, 201
+STATUS_NOT_FOUND, STATUS_CONFLICT, STATUS_GONE = 404, 409, 410
+STATUS_BUSY, STATUS_UNAVAILABLE = 429, 503
+_MS_PER_S = 1000
+_SEGMENTS_MAX = 4
+
+Reply = Callable[[HttpAnswer], None]
+store_routes: Registry[Any] = Registry('store route')
+# How the store behaves, by name; each returns True when it takes the call.
+moods: Registry[Callable[..., bool]] = Registry('store mood')
+
+
+@define(slots=True, eq=False, repr=False)
+class Watch:
+    """One watch that waits for a change of a kind."""
+
+    kind: str
+    revision: int
+    until_s: float
+    reply: Reply
+
+
+@define(slots=True, eq=False, repr=False)
+class StoreModel:
+    """Objects of all kinds under one revision counter; time is passed in.
+
+    `mood` names how it behaves at present: well, down, busy, slow, lossy.
+    """
+
+    clock: Callable[[], float]
+    random: Random
+    mood: str = 'well'
+    revision: int = 1
+    call_count: int = 0
+    objects: dict[str, dict[str, dict[str, Any]]] = field(factory=dict)
+    _watches: list[Watch] = field(factory=list)
+    _history: deque[tuple[int, str, dict[str, Any]]] = field(
+        factory=lambda: deque(maxlen=HISTORY_EVENTS),
+    )
+    _forgotten: int = 0
+
+    def serve(self, request: HttpRequest) -> HttpAnswer | Later:
+        """Answers one call, now or later, as the mood allows."""
+        self.call_count += 1
+
+        def start(responder: Any) -> None:
+            if not moods.get(self.mood)(self, request, responder):
+                self.answer(request, responder.reply)
+
+        return Later(start)
+
+    def answer(self, request: HttpRequest, reply: Reply) -> None:
+        """Carries a call out and answers it, or lets its watch wait."""
+        parts = request.path.strip('/').split('/')
+        kind = parts[2] if len(parts) > 2 else ''
+        name = parts[3] if len(parts) == _SEGMENTS_MAX else ''
+        revision = request.number('watch')
+        if request.method == 'GET' and revision is not None:
+            self._watch(request, kind, revision, reply)
+        elif request.method == 'GET':
+            reply(self._read(request, kind, name))
+        elif request.method == 'DELETE':
+            reply(self._remove(request, kind, name))
+        else:
+            reply(self._write(request, kind, name))
+
+    def put(self, kind: str, name: str, spec: Any) -> int:
+        """Writes as an operator does; returns the new revision."""
+        found = self.objects.setdefault(kind, {}).get(name)
+        if found is not None and found['spec'] == spec:
+            return self.revision
+        self.revision += 1
+        created = found['meta']['create_rev'] if found else self.revision
+        meta = {'name': name, 'revision': self.revision, 'create_rev': created}
+        stored = {'meta': meta, 'spec': spec}
+        self.objects[kind][name] = stored
+        self._tell(kind, {'object': stored, 'removed': False})
+        return self.revision
+
+    def remove(self, kind: str, name: str) -> None:
+        """Removes as an operator does."""
+        stored = self.objects.get(kind, {}).pop(name, None)
+        if stored is not None:
+            self.revision += 1
+            self._tell(kind, {'object': stored, 'removed': True})
+
+    def compact(self) -> None:
+        """Forgets its history; watches that wait are cut."""
+        self._forgotten = self.revision
+        self._history.clear()
+        self._watches.clear()
+
+    def tick(self) -> None:
+        """Ends the watches that have waited long enough."""
+        now_s = self.clock()
+        for watch in list(self._watches):
+            if now_s >= watch.until_s:
+                self._watches.remove(watch)
+                watch.reply(self._events_after(watch.kind, watch.revision))
+
+    def _tell(self, kind: str, event: dict[str, Any]) -> None:
+        self._history.append((self.revision, kind, event))
+        for watch in list(self._watches):
+            if watch.kind == kind and self.mood == 'well':
+                self._watches.remove(watch)
+                watch.reply(self._events_after(kind, watch.revision))
+
+    def _events_after(self, kind: str, revision: int) -> HttpAnswer:
+        events = [
+            event
+            for at, of_kind, event in self._history
+            if at > revision and of_kind == kind
+        ]
+        bare = {'events': events, 'as_of': self.revision}
+        return HttpAnswer.of_json(STATUS_OK, bare)
+
+    def _watch(
+        self,
+        request: HttpRequest,
+        kind: str,
+        revision: int,
+        reply: Reply,
+    ) -> None:
+        if revision < self._forgotten:
+            reply(HttpAnswer.of_json(STATUS_GONE, {}))
+            return
+        found = self._events_after(kind, revision)
+        if json.loads(found.body)['events']:
+            reply(found)
+            return
+        wait_s = (request.number('wait_ms') or 0) / _MS_PER_S
+        watch = Watch(kind, revision, self.clock() + wait_s, reply)
+        self._watches.append(watch)
+
+    def _read(self, request: HttpRequest, kind: str, name: str) -> HttpAnswer:
+        objects = self.objects.get(kind, {})
+        if name:
+            found = objects.get(name)
+            if found is None:
+                return HttpAnswer.of_json(STATUS_NOT_FOUND, {})
+            return HttpAnswer.of_json(STATUS_OK, found)
+        _, _, after = request.target.partition('after=')
+        after = after.partition('&')[0]
+        rest = [each for each in sorted(objects) if each > after]
+        page = list(islice(rest, PAGE_ITEMS))
+        bare = {
+            'items': [objects[each] for each in page],
+            'has_more': len(page) < len(rest),
+            'as_of': self.revision,
+        }
+        return HttpAnswer.of_json(STATUS_OK, bare)
+
+    def _write(self, request: HttpRequest, kind: str, name: str) -> HttpAnswer:
+        bare = json.loads(request.body)
+        meta = bare.get('meta', {})
+        name = name or str(meta.get('name'))
+        found = self.objects.get(kind, {}).get(name)
+        if request.method == 'POST' and found is not None:
+            return HttpAnswer.of_json(STATUS_CONFLICT, found)
+        if request.method == 'PUT':
+            if found is None:
+                return HttpAnswer.of_json(STATUS_NOT_FOUND, {})
+            wanted = meta.get('revision')
+            if wanted and wanted != found['meta']['revision']:
+                return HttpAnswer.of_json(STATUS_CONFLICT, found)
+        self.put(kind, name, bare.get('spec'))
+        return HttpAnswer.of_json(STATUS_OK, self.objects[kind][name])
+
+    def _remove(self, request: HttpRequest, kind: str, name: str) -> HttpAnswer:
+        found = self.objects.get(kind, {}).get(name)
+        if found is None:
+            return HttpAnswer.of_json(STATUS_NOT_FOUND, {})
+        wanted = request.number('revision')
+        if wanted and wanted != found['meta']['revision']:
+            return HttpAnswer.of_json(STATUS_CONFLICT, found)
+        self.remove(kind, name)
+        return HttpAnswer.of_json(STATUS_OK, {})
+
+
+@moods.register('well')
+def be_well(model: StoreModel, request: HttpRequest, responder: Any) -> bool:
+    """Leaves every call to the model."""
+    return False
+
+
+@moods.register('down')
+def be_down(model: StoreModel, request: HttpRequest, responder: Any) -> bool:
+    """Answers nothing."""
+    return True
+
+
+@moods.register('busy')
+def be_busy(model: StoreModel, request: HttpRequest, responder: Any) -> bool:
+    """Refuses every call: nothing was done."""
+    is_limit = model.random.random() < 1 / 2
+    status = STATUS_BUSY if is_limit else STATUS_UNAVAILABLE
+    responder.reply(HttpAnswer.of_json(status, {}))
+    return True
+
+
+@moods.register('slow')
+def be_slow(model: StoreModel, request: HttpRequest, responder: Any) -> bool:
+    """Answers a second late."""
+    responder.call_after(
+        model.random.uniform(0.3, 1.2),
+        lambda: model.answer(request, responder.reply),
+    )
+    return True
+
+
+@moods.register('lossy')
+def be_lossy(model: StoreModel, request: HttpRequest, responder: Any) -> bool:
+    """Carries some writes out without an answer, some of them late."""
+    if request.method == 'GET' or model.random.random() > 1 / 2:
+        return False
+    delay_s = model.random.choice((0.01, 1.5))
+    responder.call_after(delay_s, lambda: model.answer(request, _lose))
+    return True
+
+
+def _lose(_answer: HttpAnswer) -> None:
+    """Takes an answer that nobody gets."""
+
+
+@store_routes.register('GET /cumindrift')
+@store_routes.register('POST /cumindrift')
+@store_routes.register('PUT /cumindrift')
+@store_routes.register('DELETE /cumindrift')
+def serve_call(context: Any, request: HttpRequest) -> HttpAnswer | Later:
+    """Serves a call from the model in the context's `store`."""
+    return context.store.serve(request)
