--- a/standin/store.py
+++ b/standin/store.py
@@ -101,9 +101,11 @@
             self._tell(kind, {'object': stored, 'removed': True})
 
     def compact(self) -> None:
-        """Forgets its history; watches that wait are cut."""
+        """Forgets its history; watches that wait are ended."""
         self._forgotten = self.revision
         self._history.clear()
+        for watch in self._watches:
+            watch.reply(HttpAnswer.of_json(STATUS_GONE, {}))
         self._watches.clear()
 
     def tick(self) -> None:
