A soak of our own: real nodes as processes, faults from outside, promises checked

`lab/soak` runs nodes as processes on loopback between targets, clients, routers and a store of its own, all in one loop. Faults by name and seed: kills, stops, pauses, hang-ups, crashes and drains of targets (some with a clock that is behind), a store that is down, busy, slow, lossy or forgetful, a proxy a node that silences, delays, cuts one way or resets, changes of the manifest, evacuations, lost packets. Checked while it runs, from what clients and targets see: no reset of a flow that a target holds, octets as written, answers of the right flow, drained and evacuated targets left alone, nodes that end by themselves; after the faults, flows open and held flows answer. `standin/store.py` speaks the users' store: revisions, conditions, watches, 410, 429, lost and late answers.

--- /dev/null
+++ b/features/steps/soak_steps.py
@@ -0,0 +1,140 @@
+"""Steps of the feature about the soak."""
+
+import re
+import subprocess
+import sys
+from random import Random
+from socket import inet_aton
+
+from behave import given, then, when
+
+from cumindrift.platform.packet import make_reset
+from lab.soak.backend import Backend
+from lab.soak.caller import Call, Caller
+from lab.soak.promise import Ledger
+from lab.soak.wire import ACK, SYN, make_packet
+
+CLIENT_IP, TARGET_IP = '127.19.3.1', '127.19.2.1'
+PORT = 1024
+
+
+@when('the soak runs seed {seed:d} with {faults_s:d} s of faults')
+def step_run(context, seed, faults_s):
+    command = (
+        sys.executable,
+        '-m',
+        'lab.soak.run',
+        f'--seeds={seed}',
+        f'--faults_s={faults_s}',
+    )
+    context.soak = subprocess.run(  # noqa: S603 - our own program
+        command,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+@then('no promise was broken')
+def step_kept(context):
+    assert context.soak.returncode == 0, context.soak
+
+
+@then('it opened {count:d} flows or more')
+def step_opened(context, count):
+    found = re.search(r"'flows opened': (\d+)", context.soak.stdout)
+    assert int(found[1]) >= count, context.soak.stdout
+
+
+@given('a ledger of the soak')
+def step_ledger(context):
+    context.now_s = 100.0
+    context.ledger = Ledger()
+    context.holder = ''
+    context.caller = Caller(
+        CLIENT_IP,
+        Random(1),
+        context.ledger,
+        lambda: context.now_s,
+        lambda _octets: None,
+        lambda _key: context.holder,
+    )
+    context.add_cleanup(context.caller.release)
+    context.target = Backend(
+        TARGET_IP,
+        'kaynti',
+        'hel-a',
+        Random(1),
+        context.ledger,
+        lambda: context.now_s,
+    )
+    context.add_cleanup(context.target.release)
+
+
+def add_call(context, *, is_open):
+    """Gives the client a flow."""
+    call = Call(PORT, context.now_s, context.now_s + 5, is_open=is_open)
+    context.caller.calls[PORT] = call
+    return call
+
+
+def take(context, octets):
+    """Lets a packet arrive at the client."""
+    context.caller.take(octets)
+
+
+@when("a client's flow is reset that a target holds")
+def step_reset_held(context):
+    call = add_call(context, is_open=True)
+    context.holder = TARGET_IP
+    take(context, make_reset(context.caller.key_of(call), 1))
+
+
+@when('a packet comes that nobody wrote')
+def step_forged(context):
+    add_call(context, is_open=True)
+    octets = answer(b'answer to nobody')
+    take(context, octets[:-1] + b'!')
+
+
+@when('an answer comes for another flow')
+def step_other(context):
+    add_call(context, is_open=True)
+    take(context, answer(b'answer to 127.19.3.1 9999 1'))
+
+
+@when('a flow is not opened though all is well')
+def step_not_opened(context):
+    context.caller.calm_s = context.now_s - 1
+    add_call(context, is_open=False)
+    context.now_s += 2
+    context.caller.tick()
+
+
+@when('a SYN comes long after the target drains')
+def step_drained(context):
+    context.target.drained_s = context.now_s - 5
+    context.target.take(opening())
+
+
+@when('a SYN comes long after the zone was evacuated')
+def step_evacuated(context):
+    context.target.evacuated_s = context.now_s - 9
+    context.target.take(opening())
+
+
+@then('the promise {promise} is noted as broken')
+def step_noted(context, promise):
+    assert len(context.ledger.broken) == 1, context.ledger.broken
+    assert context.ledger.broken[0].startswith(promise), context.ledger.broken
+
+
+def opening():
+    """Returns a client's SYN."""
+    return make_packet((inet_aton(CLIENT_IP), PORT), SYN, 1000, 0)
+
+
+def answer(body):
+    """Returns a packet that a target wrote."""
+    client = (inet_aton(CLIENT_IP), PORT)
+    return make_packet(client, ACK, 1, 1, body, is_answer=True)
--- a/lab/soak/backend.py
+++ b/lab/soak/backend.py
@@ -157,6 +157,10 @@
         exchange.start()
 
     def _receive(self, octets: bytes, _pair: Any) -> None:
+        self.take(octets)
+
+    def take(self, octets: bytes) -> None:
+        """Takes a packet that the agent handed over."""
         packet = read_from_client(octets)
         if packet is None or not is_genuine(octets):
             self._ledger.breach('bytes', self._clock(), f'at target {self.ip}')
--- a/lab/soak/caller.py
+++ b/lab/soak/caller.py
@@ -165,6 +165,10 @@
         )
 
     def _receive(self, octets: bytes, _pair: Any) -> None:
+        self.take(octets)
+
+    def take(self, octets: bytes) -> None:
+        """Takes a packet that came for this client."""
         now_s = self._clock()
         is_reset = octets[10] & RST and not any(octets[4:8])
         if not is_reset and not is_genuine(octets):
--- a/lab/soak/run.py
+++ b/lab/soak/run.py
@@ -4,6 +4,7 @@
 
     python -m lab.soak.run --seeds=1,2,3 --faults_s=15
     python -m lab.soak.run --fresh=20 --faults=kill,pause,store
+    python -m lab.soak.run --regressions
 """
 
 import sys
@@ -21,6 +22,7 @@
 
 _SEEDS = flags.DEFINE_list('seeds', [], 'Seeds to run, one after the other.')
 _FRESH = flags.DEFINE_integer('fresh', 0, 'So many seeds nobody has run.')
+_REGRESSIONS = flags.DEFINE_bool('regressions', False, 'Seeds that failed.')
 _FAULTS_S = flags.DEFINE_float('faults_s', 15.0, 'Time with faults, a seed.')
 _FAULTS = flags.DEFINE_list('faults', [], 'Only these faults; all if empty.')
 _BALANCERS = flags.DEFINE_integer('balancers', 3, 'Balancers, 2 or more.')
@@ -28,11 +30,33 @@
 _CLIENTS = flags.DEFINE_integer('clients', 12, 'Clients.')
 _SLOT = flags.DEFINE_integer('slot', 0, 'Keeps runs side by side apart.')
 _KEEP = flags.DEFINE_string('keep', '', 'Where logs go; else a new folder.')
+REGRESSIONS = Path(__file__).with_name('regressions.txt')
 SEED_MAX = 10**9
 BROKEN_SHOWN = 12
 
 
-def run_seed(seed: int) -> World:
+def read_regressions() -> list[tuple[int, float]]:
+    """Returns the seeds that failed once, with the length of their faults."""
+    rows = [
+        line.split()[:2]
+        for line in REGRESSIONS.read_text('utf-8').splitlines()
+        if line and not line.startswith('#')
+    ]
+    return [(int(seed), float(faults_s)) for seed, faults_s in rows]
+
+
+def list_runs() -> list[tuple[int, float]]:
+    """Returns the seeds to run, with the length of their faults."""
+    draw = SystemRandom()
+    seeds = [int(seed) for seed in _SEEDS.value]
+    seeds.extend(draw.randrange(SEED_MAX) for _ in range(_FRESH.value))
+    runs = [(seed, _FAULTS_S.value) for seed in seeds]
+    if _REGRESSIONS.value:
+        runs.extend(read_regressions())
+    return runs
+
+
+def run_seed(seed: int, faults_s: float) -> World:
     """Runs one seed to its end and returns its world."""
     folder = Path(_KEEP.value or mkdtemp(prefix=f'soak-{seed}-'))
     folder.mkdir(parents=True, exist_ok=True)
@@ -43,7 +67,7 @@
         _CLIENTS.value,
         folder,
     )
-    world = World(site, seed, _FAULTS_S.value, _FAULTS.value)
+    world = World(site, seed, faults_s, _FAULTS.value)
     EPoll().register(world)
     try:
         world.run()
@@ -74,16 +98,14 @@
     if unknown:
         sys.stderr.write(f'unknown faults {unknown}; {faults.names()}\n')
         return 2
-    draw = SystemRandom()
-    seeds = [int(seed) for seed in _SEEDS.value]
-    seeds.extend(draw.randrange(SEED_MAX) for _ in range(_FRESH.value))
+    runs = list_runs()
     broken_count = 0
-    for seed in seeds:
-        world = run_seed(seed)
+    for seed, faults_s in runs:
+        world = run_seed(seed, faults_s)
         broken_count += bool(world.ledger.broken)
         sys.stdout.write(f'{report(seed, world)}\n')
         sys.stdout.flush()
-    sys.stdout.write(f'{len(seeds)} seeds, {broken_count} with a breach\n')
+    sys.stdout.write(f'{len(runs)} seeds, {broken_count} with a breach\n')
     return 1 if broken_count else 0
 
 
--- a/standin/store.py
+++ b/standin/store.py
@@ -54,6 +54,8 @@
         factory=lambda: deque(maxlen=HISTORY_EVENTS),
     )
     _forgotten: int = 0
+    # The revision of the last change of each kind.
+    _changed: dict[str, int] = field(factory=dict)
 
     def serve(self, request: HttpRequest) -> HttpAnswer | Later:
         """Answers one call, now or later, as the mood allows."""
@@ -109,15 +111,20 @@
         self._watches.clear()
 
     def tick(self) -> None:
-        """Ends the watches that have waited long enough."""
+        """Ends the watches that have waited long enough, or missed a change.
+
+        A store that was down tells of changes once it is well again.
+        """
         now_s = self.clock()
         for watch in list(self._watches):
-            if now_s >= watch.until_s:
+            is_behind = watch.revision < self._changed.get(watch.kind, 0)
+            if now_s >= watch.until_s or (is_behind and self.mood == 'well'):
                 self._watches.remove(watch)
                 watch.reply(self._events_after(watch.kind, watch.revision))
 
     def _tell(self, kind: str, event: dict[str, Any]) -> None:
         self._history.append((self.revision, kind, event))
+        self._changed[kind] = self.revision
         for watch in list(self._watches):
             if watch.kind == kind and self.mood == 'well':
                 self._watches.remove(watch)
