--- a/features/steps/node_agent_steps.py
+++ b/features/steps/node_agent_steps.py
@@ -8,13 +8,13 @@
 from cumindrift.outcome import Refused
 from cumindrift.platform.packet import make_reset, read_from_client
 from cumindrift.steering.frame import FrameKind
+from features.builders.core import AgentBench
 from features.builders.node import (
     ACK,
     BALANCER_IP,
     FIN,
     RST,
     SYN,
-    AgentBench,
     bounced,
     carried,
     client_packet,
--- a/features/steps/node_balancer_steps.py
+++ b/features/steps/node_balancer_steps.py
@@ -7,12 +7,11 @@
 from cumindrift.port import DRAIN_MAX
 from cumindrift.steering.frame import FrameKind, Load, service_digest
 from cumindrift.steering.role import pass_time
+from features.builders.core import BalancerBench, Inlet
 from features.builders.node import (
     ACK,
     SERVICE,
     SYN,
-    BalancerBench,
-    Inlet,
     agent_ip,
     client_packet,
     flow_key,
--- a/features/steps/node_life_steps.py
+++ b/features/steps/node_life_steps.py
@@ -14,7 +14,8 @@
 from cumindrift.steering.agent.supervisor import prepare_agent
 from cumindrift.steering.balancer.page import show_ready
 from cumindrift.steering.balancer.supervisor import prepare_balancer
-from features.builders.node import AgentBench, node_file
+from features.builders.core import AgentBench
+from features.builders.node import node_file
 
 
 def start_process(context, prepare):
--- /dev/null
+++ b/features/steps/store_standin_steps.py
@@ -0,0 +1,150 @@
+"""Steps of the feature about the stand-in for the users' store."""
+
+import json
+from random import Random
+
+from behave import given, then, when
+
+from cumindrift.administration.answer import HttpRequest, Responder
+from standin.store import StoreModel
+
+KIND = 'cumindrift-agents'
+
+
+class StoreBench:
+    """A store with a clock of its own, and the answers that it gave."""
+
+    def __init__(self):
+        self.now_s = 100.0
+        self.answers = []
+        self.due = []
+        self.model = StoreModel(lambda: self.now_s, Random(1))
+        self.responder = Responder(self.answers.append, self.call_after)
+
+    def call_after(self, delay_s, call):
+        """Keeps a call for later."""
+        self.due.append((self.now_s + delay_s, call))
+
+    def call(self, method, name='', bare=None, query=''):
+        """Sends one call."""
+        path = f'/cumindrift/objects/{KIND}'
+        target = f'{path}/{name}' if name else path
+        body = json.dumps(bare).encode() if bare is not None else b''
+        request = HttpRequest(method, f'{target}{query}', {}, body)
+        self.model.serve(request).start(self.responder)
+
+    def pass_time(self, seconds):
+        """Lets time pass."""
+        self.now_s += seconds
+        for at_s, call in list(self.due):
+            if at_s <= self.now_s:
+                self.due.remove((at_s, call))
+                call()
+        self.model.tick()
+
+
+def names_in(answer):
+    """Returns the names of all changes in an answer."""
+    events = json.loads(answer.body)['events']
+    return [event['object']['meta']['name'] for event in events]
+
+
+@given('a store stand-in')
+def step_store(context):
+    context.store = StoreBench()
+
+
+@when('POST {name} is called with content {content}')
+def step_post(context, name, content):
+    bare = {'meta': {'name': name}, 'spec': content}
+    context.store.call('POST', bare=bare)
+
+
+@when('PUT {name} is called with content {content}, known at {revision:d}')
+def step_put(context, name, content, revision):
+    bare = {'meta': {'name': name, 'revision': revision}, 'spec': content}
+    context.store.call('PUT', name, bare)
+
+
+@when('POST {name} is written by an operator')
+def step_operator(context, name):
+    context.store.model.put(KIND, name, 'one')
+
+
+@when('{count:d} objects are created')
+def step_many(context, count):
+    for number in range(count):
+        step_post(context, f'side-{number}', 'one')
+
+
+@when('a watch from {revision:d} is called')
+def step_watch(context, revision):
+    context.store.answers.clear()
+    query = f'?watch={revision}&wait_ms=25000'
+    context.store.call('GET', query=query)
+
+
+@when('{seconds:g} s go by at the store')
+def step_time(context, seconds):
+    context.store.pass_time(seconds)
+
+
+@when('the store forgets its history')
+def step_forgets(context):
+    context.store.model.compact()
+
+
+@when('the store is {mood}')
+def step_mood(context, mood):
+    context.store.model.mood = mood
+    context.store.pass_time(0.02)
+
+
+@then('it answers {status:d} with content {content} at revision {revision:d}')
+def step_answers(context, status, content, revision):
+    answer = context.store.answers[-1]
+    bare = json.loads(answer.body)
+    found = (answer.status, bare['spec'], bare['meta']['revision'])
+    assert found == (status, content, revision), found
+
+
+@then('it answers {status:d}')
+def step_status(context, status):
+    assert context.store.answers[-1].status == status
+
+
+@then('it answers {first:d} or {second:d}')
+def step_either(context, first, second):
+    assert context.store.answers[-1].status in {first, second}
+
+
+@then('it answers 200 with the changes {names}')
+@then('the watch is answered with the changes {names}')
+def step_changes(context, names):
+    wanted = [] if names == 'none' else names.split(', ')
+    found = [
+        answer
+        for answer in context.store.answers
+        if 'events' in json.loads(answer.body)
+    ]
+    assert names_in(found[-1]) == wanted, found
+
+
+@then('it waits')
+def step_waits(context):
+    found = [
+        answer
+        for answer in context.store.answers
+        if 'events' in json.loads(answer.body)
+    ]
+    assert not found, found
+
+
+@then('the store has {count:d} objects')
+def step_has(context, count):
+    assert len(context.store.model.objects.get(KIND, {})) == count
+
+
+@then('fewer than {count:d} calls were answered')
+def step_fewer(context, count):
+    assert len(context.store.answers) < count
