--- /dev/null
+++ b/lab/sitevariant.py
@@ -0,0 +1,72 @@
+"""Writes a variant of a site file, to play deployments nobody has seen.
+
+Example::
+
+    python -m lab.sitevariant SITE.toml /tmp/two.toml --drop=van-c \
+        --sides=kaynti=1,asiakirja=1 --hash=mod --bounds=drain_ms=1500
+"""
+
+import re
+import shutil
+import sys
+from pathlib import Path
+
+from absl import app, flags
+
+_HASH = flags.DEFINE_string('hash', '', 'How the routers hash, if not as is.')
+_DROP = flags.DEFINE_list('drop', [], 'Data centres to leave out.')
+_SIDES = flags.DEFINE_list('sides', [], 'Targets of a service in each place.')
+_BOUNDS = flags.DEFINE_list('bounds', [], "Other bounds, by the file's name.")
+_ARGUMENT_COUNT = 3
+_WIRE = 'wire.json'
+
+
+def drop_zone(text: str, name: str) -> str:
+    """Takes a data centre out; troubles there happen at another."""
+    names = re.findall('name = "([^"]+)", region', text)
+    other = next(each for each in names if each != name)
+    place = f'zone = "{name}"'
+    lines = []
+    for line in text.splitlines():
+        is_listed = f'name = "{name}", region' in line
+        is_placed = place in line and 'kind = "' not in line.split('shape')[0]
+        if not is_listed and not is_placed:
+            lines.append(line.replace(place, f'zone = "{other}"'))
+    return '\n'.join(lines)
+
+
+def set_sides(text: str, service: str, count: str) -> str:
+    """Sets how many targets of a service stand in each data centre."""
+    pattern = rf'(class = "side".*count = )\d+(, app = "{service}")'
+    return re.sub(pattern, rf'\g<1>{count}\2', text)
+
+
+def vary(text: str) -> str:
+    """Returns the site as the flags want it."""
+    for name in _DROP.value:
+        text = drop_zone(text, name)
+    for pair in _SIDES.value:
+        text = set_sides(text, *pair.split('='))
+    if _HASH.value:
+        text = re.sub('(?m)^hash = .*$', f'hash = "{_HASH.value}"', text)
+    for pair in _BOUNDS.value:
+        name, amount = pair.split('=')
+        text = re.sub(f'(?m)^{name} = .*$', f'{name} = {amount}', text)
+    return text
+
+
+def _run(arguments: list[str]) -> int:
+    if len(arguments) != _ARGUMENT_COUNT:
+        sys.stderr.write('give a site file and where its variant goes\n')
+        return 2
+    source, place = Path(arguments[1]), Path(arguments[2])
+    text = vary(source.read_text('utf-8'))
+    name = re.search('(?m)^name = "([^"]+)"', text)[1]
+    text = text.replace(f'name = "{name}"', f'name = "{place.stem}"', 1)
+    place.write_text(text, 'utf-8')
+    shutil.copy(source.with_name(_WIRE), place.with_name(_WIRE))
+    return 0
+
+
+if __name__ == '__main__':
+    app.run(_run)
