Name the copy of the evacuations in the log of each placed SYN

Logs could not tell the hypotheses of the incident apart: a SYN placed by an old copy, by none, or past the choice looked the same. open-sent now gives the revision of the copy and the time since the store or a peer confirmed it. No decision changes. The new scenario fails before: the line has no such field.

--- a/cumindrift/fleet/balancer_store.py
+++ b/cumindrift/fleet/balancer_store.py
@@ -43,6 +43,8 @@
             context.random,
             batch_delay_s,
         )
+    evacuations = context.watchers[EVACUATION_KIND]
+    context.directory.evacuations_version = evacuations.version
     context.remover = Remover()
 
 
--- a/cumindrift/fleet/directory.py
+++ b/cumindrift/fleet/directory.py
@@ -4,6 +4,7 @@
 
 from attrs import define, field
 
+from cumindrift.fleet.copy_version import CopyVersion
 from cumindrift.fleet.manifest import Manifest
 from cumindrift.fleet.ring import KeeperRing
 
@@ -32,6 +33,7 @@
     manifest_revision: int = 0
     agents: dict[str, AgentEntry] = field(factory=dict)
     evacuated: frozenset[str] = frozenset()
+    evacuations_version: CopyVersion = field(factory=CopyVersion)
     has_agents: bool = False
     has_evacuations: bool = False
     ring: KeeperRing = field(factory=KeeperRing)
--- a/cumindrift/fleet/peer_reader.py
+++ b/cumindrift/fleet/peer_reader.py
@@ -49,7 +49,8 @@
             name: StoreItem(name, revision, content)
             for name, revision, content in raw[kind]['objects']
         }
-        if watcher.adopt(objects, int(raw[kind]['as_of'])):
+        as_of = int(raw[kind]['as_of'])
+        if watcher.adopt(objects, as_of, context.clock()):
             adopted.append(kind)
     return adopted
 
--- a/cumindrift/fleet/watcher.py
+++ b/cumindrift/fleet/watcher.py
@@ -12,6 +12,7 @@
     StoreCall,
     StoreItem,
 )
+from cumindrift.fleet.copy_version import NOT_READ, CopyVersion
 
 # A watch that has ended is started again, which costs a call, so it waits
 # long. Dead connections are detected by TCP keep-alive instead.
@@ -35,11 +36,11 @@
     random: Random
     batch_delay_s: float = 0.0
     objects: Objects = field(factory=dict)
+    version: CopyVersion = field(factory=CopyVersion)
     failure_count: int = 0
     # When the latest complete list was requested.
     listed_s: float = 0.0
     on_listed: Callable[[float], None] = lambda _list_started_s: None
-    _as_of: int = -1
     _listed: Objects = field(factory=dict)
     _after: str = ''
     _due_s: float = 0.0
@@ -52,12 +53,12 @@
         if self._is_running or now_s < self._due_s:
             return None
         self._is_running = True
-        self._is_listing = self._as_of < 0
+        self._is_listing = self.version.as_of == NOT_READ
         if not self._is_listing:
             return StoreCall(
                 CallVerb.WATCH,
                 self.kind,
-                revision=self._as_of,
+                revision=self.version.as_of,
                 wait_s=WATCH_WAIT_S,
             )
         if self._after == '':
@@ -71,7 +72,7 @@
 
     def list_again(self) -> None:
         """Makes the next call a list; no call may be running."""
-        self._as_of = -1
+        self.version.as_of = NOT_READ
         self._after = ''
         self._listed = {}
         self._is_running = False
@@ -79,14 +80,14 @@
 
     @property
     def as_of(self) -> int:
-        """Returns the store revision of this copy; -1 if a list is needed."""
-        return self._as_of
+        """Returns the revision of this copy; NOT_READ if a list is needed."""
+        return self.version.as_of
 
-    def adopt(self, objects: Objects, as_of: int) -> bool:
+    def adopt(self, objects: Objects, as_of: int, now_s: float) -> bool:
         """Takes over a peer's copy if it is newer; tells whether it was."""
-        if as_of <= self._as_of:
+        if as_of <= self.version.as_of:
             return False
-        self._as_of = as_of
+        self._confirm(as_of, now_s)
         self.objects = objects
         self.on_objects(objects)
         return True
@@ -103,6 +104,10 @@
         else:
             self._fail(now_s)
 
+    def _confirm(self, as_of: int, now_s: float) -> None:
+        self.version.as_of = as_of
+        self.version.confirmed_s = now_s
+
     def _fail(self, now_s: float) -> None:
         self.failure_count += 1
         ceiling_s = min(
@@ -113,18 +118,18 @@
 
     def _apply(self, answer: StoreAnswer, now_s: float) -> None:
         if self._is_listing:
-            self._apply_page(answer)
+            self._apply_page(answer, now_s)
         else:
             self._apply_events(answer, now_s)
 
-    def _apply_page(self, answer: StoreAnswer) -> None:
+    def _apply_page(self, answer: StoreAnswer, now_s: float) -> None:
         for item in answer.items:
             if not item.is_removed:
                 self._listed[item.name] = item
         if answer.has_more and answer.items:
             self._after = answer.items[-1].name
             return
-        self._as_of = answer.as_of
+        self._confirm(answer.as_of, now_s)
         self._after = ''
         self.objects = self._listed
         self._listed = {}
@@ -133,7 +138,7 @@
         self.on_listed(self.listed_s)
 
     def _apply_events(self, answer: StoreAnswer, now_s: float) -> None:
-        self._as_of = max(self._as_of, answer.as_of)
+        self._confirm(max(self.version.as_of, answer.as_of), now_s)
         if not answer.items:
             return
         self.objects = dict(self.objects)
--- a/cumindrift/steering/balancer/placer.py
+++ b/cumindrift/steering/balancer/placer.py
@@ -118,6 +118,7 @@
         hint.tried.add(first.ip)
         self.waiting[key] = hint
         load = self.agent_monitor.load_of(first.ip)
+        evacuations = self.state.directory.evacuations_version
         self.state.log_decision(
             'open-sent',
             key,
@@ -127,6 +128,8 @@
             manifest=manifest.version,
             cost=round(load.cost(), 1),
             load_age_s=round(now_s - load.reported_s, 3),
+            evacuations=evacuations.as_of,
+            evacuations_age_s=evacuations.age_s(now_s),
         )
         load.sent_count += 1
         others = tuple(entry.ip for entry in agents[1:CANDIDATES_MAX])
--- a/features/builders/core.py
+++ b/features/builders/core.py
@@ -1,5 +1,6 @@
 """Builders of cores whose outputs record all requested I/O."""
 
+import json
 from collections.abc import Callable
 from random import Random
 from typing import Any
@@ -113,6 +114,19 @@
         return [report.kind.name for _, report in self.reports]
 
 
+def logged_lines(events: EventLog, event: str) -> list[dict[str, Any]]:
+    """Flushes a log; returns its lines about an event."""
+    lines: list[dict[str, Any]] = []
+
+    def keep(octets: bytes) -> int:
+        lines.extend(map(json.loads, octets.splitlines()))
+        return len(octets)
+
+    events.write = keep
+    events.flush()
+    return [line for line in lines if line['event'] == event]
+
+
 @define(slots=True, eq=False)
 class AgentBench:
     """An agent's core with a simulated clock."""
--- a/features/node_balancer.feature
+++ b/features/node_balancer.feature
@@ -153,3 +153,9 @@
     Given a balancer that knows 3 agents
     When agent 1 reports manifest 9
     Then the manifest is requested
+
+  Scenario: The log names the copy of the evacuations that a SYN was placed by
+    Given a balancer that knows 3 agents
+    And its evacuations are as of 27, confirmed 4 s ago
+    When the client sends a SYN
+    Then the log line open-sent has evacuations 27 and evacuations_age_s 4.0
--- a/features/steps/node_balancer_steps.py
+++ b/features/steps/node_balancer_steps.py
@@ -7,7 +7,7 @@
 from cumindrift.port import DRAIN_MAX
 from cumindrift.steering.frame import FrameKind, Load, service_digest
 from cumindrift.steering.role import drain_and_tick
-from features.builders.core import BalancerBench, InputPort
+from features.builders.core import BalancerBench, InputPort, logged_lines
 from features.builders.node import (
     ACK,
     SERVICE,
@@ -51,6 +51,13 @@
     context.bench.directory.apply_evacuations(frozenset((first, second)))
 
 
+@given('its evacuations are as of {as_of:d}, confirmed {age_s:g} s ago')
+def step_evacuations_version(context, as_of, age_s):
+    version = context.bench.directory.evacuations_version
+    version.as_of = as_of
+    version.confirmed_s = context.bench.now_s - age_s
+
+
 @given('a manifest that sends the address to another service')
 def step_other_service(context):
     context.bench.put_manifest(4, 'asiakirja')
@@ -289,3 +296,13 @@
 @then('{count:d} or more entries are removed')
 def step_removed(context, count):
     assert len(set(context.bench.output.removed)) >= count
+
+
+@then(
+    'the log line {event} has evacuations {as_of:d} '
+    'and evacuations_age_s {age_s:g}'
+)
+def step_log_line(context, event, as_of, age_s):
+    line = logged_lines(context.bench.events, event)[-1]
+    found = (line['evacuations'], line['evacuations_age_s'])
+    assert found == (as_of, age_s), line
--- a/features/steps/node_store_steps.py
+++ b/features/steps/node_store_steps.py
@@ -288,9 +288,11 @@
     for node in (context.first, context.node):
         watch_store(node)
     first = context.first.watchers
-    first[MANIFEST_KIND].adopt({'main': StoreItem('main', 20, MANIFEST)}, 31)
-    first[AGENT_KIND].adopt({'side-1': StoreItem('side-1', 3, ENTRY)}, 32)
-    first[EVACUATION_KIND].adopt({}, 33)
+    first[MANIFEST_KIND].adopt(
+        {'main': StoreItem('main', 20, MANIFEST)}, 31, 10.0
+    )
+    first[AGENT_KIND].adopt({'side-1': StoreItem('side-1', 3, ENTRY)}, 32, 10.0)
+    first[EVACUATION_KIND].adopt({}, 33, 10.0)
 
 
 @given('the store does not respond to the second')
@@ -302,7 +304,7 @@
 @when('the second has read a later revision')
 def step_later(context):
     for watcher in context.node.watchers.values():
-        watcher.adopt({}, 40)
+        watcher.adopt({}, 40, 10.0)
 
 
 @when("the second receives the first's objects")
