Soak: evacuate while the store does not serve half of the balancers

The soak had no fault that keeps one kind's news from some balancers for longer than the 5 s in which an evacuation takes effect.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -8,6 +8,13 @@
     Then no promise was broken
     And it opened 100 flows or more
 
+  # Guards against new flows to an evacuated data centre through balancers that
+  # the store does not serve, while others know of the evacuation.
+  Scenario: Balancers that the store does not serve hear of an evacuation
+    When the soak runs seed 19 with 11 s of the fault outdated
+    Then no promise was broken
+    And it opened 100 flows or more
+
   Scenario Outline: The soak detects each broken promise
     Given a ledger of the soak
     When <what>
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -20,12 +20,23 @@
 
 @when('the soak runs seed {seed:d} with {faults_s:d} s of faults')
 def step_run(context, seed, faults_s):
+    run_soak(context, seed, faults_s)
+
+
+@when('the soak runs seed {seed:d} with {faults_s:d} s of the fault {name}')
+def step_run_fault(context, seed, faults_s, name):
+    run_soak(context, seed, faults_s, f'--faults={name}')
+
+
+def run_soak(context, seed, faults_s, *flags):
+    """Runs one seed as a process of its own; keeps its result."""
     command = (
         sys.executable,
         '-m',
         'lab.soak.run',
         f'--seeds={seed}',
         f'--faults_s={faults_s}',
+        *flags,
     )
     context.soak = subprocess.run(  # noqa: S603 - our own program
         command,
--- a/lab/soak/fault.py
+++ b/lab/soak/fault.py
@@ -7,7 +7,10 @@
 from typing import Any
 
 from cumindrift.registry import Registry
-from lab.soak.topology import DATA_CENTRES, SERVICES
+from lab.soak.topology import DATA_CENTRES, EVACUATE_S, SERVICES
+
+# Long enough for SYNs after the time in which an evacuation takes effect.
+OUTDATED_S = EVACUATE_S + 4.0
 
 # A fault takes the harness and its random generator and starts. It returns
 # pairs of a delay in seconds and the function that then ends it, or no pairs
@@ -155,6 +158,36 @@
     return ()
 
 
+@faults.register('outdated')
+def outdate_balancers(harness: Any, random: Random) -> ScheduledEnds:
+    """Evacuates a data centre while half of the balancers cannot read it.
+
+    The store refuses them, is silent to them, or is silent on the connections
+    that are open, while it serves all other nodes.
+    """
+    if harness.is_evacuating:
+        # Another one would leave no balancer that can read the evacuation.
+        return ()
+    name = random.choice(DATA_CENTRES)
+    proxies = harness.balancer_proxies()
+    outdated = random.sample(proxies, len(proxies) // 2)
+    mode = random.choice(('refusing', 'silent', 'muted'))
+    for proxy in outdated:
+        if mode == 'muted':
+            proxy.mute_all()
+        else:
+            proxy.mode = mode
+    harness.evacuate(name)
+
+    def restore() -> None:
+        harness.end_evacuation(name)
+        for proxy in outdated:
+            proxy.mode = 'well'
+            proxy.reset_all()
+
+    return ((OUTDATED_S, restore),)
+
+
 @faults.register('loss')
 def lose_packets(harness: Any, random: Random) -> ScheduledEnds:
     """Drops some packets between clients and balancers."""
--- a/lab/soak/harness.py
+++ b/lab/soak/harness.py
@@ -97,6 +97,11 @@
         }
         self.store.put('config', 'main', spec)
 
+    @property
+    def is_evacuating(self) -> bool:
+        """Tells whether a data centre is evacuated."""
+        return bool(self._evacuated)
+
     def evacuate(self, name: str) -> bool:
         """Evacuates a data centre; False if one already is."""
         if self._evacuated:
@@ -115,6 +120,16 @@
         for target in self.targets:
             target.evacuated_s = 0.0
 
+    def balancer_proxies(self) -> list[StoreProxy]:
+        """Returns the proxies between the balancers and the store."""
+        return [
+            proxy
+            for node, proxy in zip(
+                self.cluster.nodes, self.proxies, strict=True
+            )
+            if node.role == 'balancer'
+        ]
+
     def find_holder(self, key: bytes) -> str:
         """Returns the IP of the running target that holds a flow, or ''."""
         for target in self.targets:
--- a/lab/soak/proxy.py
+++ b/lab/soak/proxy.py
@@ -23,6 +23,10 @@
 RECEIVE_BYTES = 1024 * 1024
 CONNECT_S = 1.0
 DELAY_S = 0.4
+REFUSAL = (
+    b'HTTP/1.1 429 Too Many Requests\r\n'
+    b'Content-Length: 0\r\nConnection: close\r\n\r\n'
+)
 _LINGER_RESET = pack('ii', 1, 0)
 
 # Handlers of received data, by mode. Arguments: the proxy, the data, the socket
@@ -45,6 +49,8 @@
         self._peers: dict[socket, socket] = {}
         # Sockets connected to the store; the other ones lead to the node.
         self._upstream: set[socket] = set()
+        # Sockets whose data is discarded until they are closed.
+        self._muted: set[socket] = set()
         self._sock = socket(AF_INET, SOCK_STREAM)
         self._sock.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
         self._sock.setblocking(False)
@@ -63,6 +69,10 @@
                 sock.setsockopt(SOL_SOCKET, SO_LINGER, _LINGER_RESET)
                 self._close_pair(sock)
 
+    def mute_all(self) -> None:
+        """Discards what comes on the open connections; new ones work."""
+        self._muted.update(self._peers)
+
     def call_later(self, call: Callable[[], None]) -> None:
         """Calls `call` once after DELAY_S."""
         Timer(DELAY_S, delay_elapsed(call), self.channel).register(self)
@@ -74,6 +84,13 @@
         except OSError:
             self._close_pair(sock)
 
+    def answer(self, upstream: socket, octets: bytes) -> None:
+        """Answers in place of the store, then closes the connection pair."""
+        sock = self._peers.get(upstream)
+        if sock is not None:
+            self.send(sock, octets)
+            self._close_pair(upstream)
+
     @handler('delay_elapsed')
     def _on_later(self, call: Callable[[], None]) -> None:
         call()
@@ -97,13 +114,17 @@
         except OSError:
             octets = b''
         if octets:
-            is_answer = sock in self._upstream
-            proxy_modes.get(self.mode)(self, octets, peer, is_answer)
+            self._pass_on(sock, peer, octets)
         elif self.mode in {'well', 'delayed'}:
             self._close_pair(sock)
         else:
             find_poller(self).removeReader(sock)
 
+    def _pass_on(self, sock: socket, peer: socket, octets: bytes) -> None:
+        if sock not in self._muted:
+            is_answer = sock in self._upstream
+            proxy_modes.get(self.mode)(self, octets, peer, is_answer)
+
     @handler('_disconnect', '_error')
     def _on_broken(self, sock: socket, *_details: Any) -> None:
         self._close_pair(sock)
@@ -124,6 +145,7 @@
     def _close_pair(self, sock: socket) -> None:
         peer = self._peers.pop(sock, None)
         self._upstream.discard(sock)
+        self._muted.discard(sock)
         if peer is None:
             return
         find_poller(self).discard(sock)
@@ -173,3 +195,15 @@
 ) -> None:
     """Forwards everything after DELAY_S."""
     proxy.call_later(lambda: proxy.send(peer, octets))
+
+
+@proxy_modes.register('refusing')
+def refuse_requests(
+    proxy: StoreProxy,
+    octets: bytes,
+    peer: socket,
+    is_answer: bool,
+) -> None:
+    """Answers requests with 429 and discards the store's responses."""
+    if not is_answer:
+        proxy.answer(peer, REFUSAL)
