Watchers: a copy of store objects never goes back

What callers could see: new flows to an evacuated data centre, for as long as a balancer kept a copy from which an evacuation had vanished. Cause: a watcher applied whatever came. The answer to a call that began before a peer's newer copy was adopted was laid over that copy, and a watcher that had to list again (history dropped, or a list requested by the core) had forgotten its revision, so that any older copy of a peer replaced its own. A list in pages also claimed the revision of its last page, though names of earlier pages may have changed. Change: the revision is kept while the objects are listed; an answer that a peer's copy has overtaken is left out and the next call goes on from there; a list counts as of its first page. The page scenario asserted the last page's revision, which loses changes between pages; it now asserts the first's.

--- a/cumindrift/fleet/peer_reader.py
+++ b/cumindrift/fleet/peer_reader.py
@@ -25,7 +25,7 @@
     """Returns all store objects that this balancer watches, as JSON."""
     raw = {
         kind: {
-            'as_of': watcher.as_of,
+            'as_of': watcher.version.as_of,
             'objects': [
                 [item.name, item.revision, item.content]
                 for item in watcher.objects.values()
--- a/cumindrift/fleet/watcher.py
+++ b/cumindrift/fleet/watcher.py
@@ -23,12 +23,39 @@
 Objects = dict[str, StoreItem]
 
 
+@define(slots=True, eq=False, repr=False)
+class Listing:
+    """The pages of a list that have arrived so far."""
+
+    started_s: float = 0.0
+    objects: Objects = field(factory=dict)
+    # The last name of the last page; empty before the first one.
+    after: str = ''
+    as_of: int = NOT_READ
+
+    def add_page(self, answer: StoreAnswer) -> None:
+        """Adds a page.
+
+        The list has every change up to its first page: names of earlier pages
+        may change before the last one is read.
+        """
+        if self.as_of == NOT_READ:
+            self.as_of = answer.as_of
+        for item in answer.items:
+            if not item.is_removed:
+                self.objects[item.name] = item
+        if answer.items:
+            self.after = answer.items[-1].name
+
+
 @define(slots=True, eq=False, repr=False)
 class KindWatcher:
     """Maintains a copy of all objects of one kind; run by the store's link.
 
-    `batch_delay_s` is the pause after a change, so that changes in quick
-    succession arrive in one response.
+    The copy never goes back: the answer to a call that began before a peer's
+    newer copy was adopted is left out, and the next call goes on from the
+    adopted copy. `batch_delay_s` is the pause after a change, so that changes
+    in quick succession arrive in one response.
     """
 
     kind: str
@@ -41,19 +68,21 @@
     # When the latest complete list was requested.
     listed_s: float = 0.0
     on_listed: Callable[[float], None] = lambda _list_started_s: None
-    _listed: Objects = field(factory=dict)
-    _after: str = ''
+    _needs_list: bool = True
+    _listing: Listing = field(factory=Listing)
     _due_s: float = 0.0
-    _list_started_s: float = 0.0
     _is_running: bool = False
     _is_listing: bool = False
+    # Whether a peer's copy was adopted while the call runs.
+    _is_superseded: bool = False
 
     def next_call(self, now_s: float) -> StoreCall | None:
         """Returns the call that is due now, if any."""
         if self._is_running or now_s < self._due_s:
             return None
         self._is_running = True
-        self._is_listing = self.version.as_of == NOT_READ
+        self._is_superseded = False
+        self._is_listing = self._needs_list
         if not self._is_listing:
             return StoreCall(
                 CallVerb.WATCH,
@@ -61,9 +90,9 @@
                 revision=self.version.as_of,
                 wait_s=WATCH_WAIT_S,
             )
-        if self._after == '':
-            self._list_started_s = now_s
-        return StoreCall(CallVerb.LIST, self.kind, after=self._after)
+        if self._listing.as_of == NOT_READ:
+            self._listing.started_s = now_s
+        return StoreCall(CallVerb.LIST, self.kind, after=self._listing.after)
 
     @property
     def is_watching(self) -> bool:
@@ -72,41 +101,35 @@
 
     def list_again(self) -> None:
         """Makes the next call a list; no call may be running."""
-        self.version.as_of = NOT_READ
-        self._after = ''
-        self._listed = {}
+        self._needs_list = True
+        self._listing = Listing()
         self._is_running = False
         self._due_s = 0.0
 
-    @property
-    def as_of(self) -> int:
-        """Returns the revision of this copy; NOT_READ if a list is needed."""
-        return self.version.as_of
-
     def adopt(self, objects: Objects, as_of: int, now_s: float) -> bool:
         """Takes over a peer's copy if it is newer; tells whether it was."""
         if as_of <= self.version.as_of:
             return False
-        self._confirm(as_of, now_s)
-        self.objects = objects
-        self.on_objects(objects)
+        self._is_superseded = self._is_running
+        self._take(objects, as_of, now_s)
         return True
 
     def on_answer(self, answer: StoreAnswer, now_s: float) -> None:
         """Handles the result of the last call."""
         self._is_running = False
-        if answer.tag is AnswerTag.HISTORY_GONE:
-            self.failure_count = 0
+        is_known = answer.tag in {AnswerTag.HISTORY_GONE, AnswerTag.DONE}
+        if not is_known:
+            self._fail(now_s)
+            return
+        self.failure_count = 0
+        if self._is_superseded:
+            self._due_s = 0.0
+        elif answer.tag is AnswerTag.HISTORY_GONE:
             self.list_again()
-        elif answer.tag is AnswerTag.DONE:
-            self.failure_count = 0
-            self._apply(answer, now_s)
+        elif self._is_listing:
+            self._apply_page(answer, now_s)
         else:
-            self._fail(now_s)
-
-    def _confirm(self, as_of: int, now_s: float) -> None:
-        self.version.as_of = as_of
-        self.version.confirmed_s = now_s
+            self._apply_events(answer, now_s)
 
     def _fail(self, now_s: float) -> None:
         self.failure_count += 1
@@ -116,36 +139,41 @@
         )
         self._due_s = now_s + ceiling_s * (1 + self.random.random()) / 2
 
-    def _apply(self, answer: StoreAnswer, now_s: float) -> None:
-        if self._is_listing:
-            self._apply_page(answer, now_s)
-        else:
-            self._apply_events(answer, now_s)
-
     def _apply_page(self, answer: StoreAnswer, now_s: float) -> None:
-        for item in answer.items:
-            if not item.is_removed:
-                self._listed[item.name] = item
+        listing = self._listing
+        listing.add_page(answer)
         if answer.has_more and answer.items:
-            self._after = answer.items[-1].name
             return
-        self._confirm(answer.as_of, now_s)
-        self._after = ''
-        self.objects = self._listed
-        self._listed = {}
-        self.on_objects(self.objects)
-        self.listed_s = self._list_started_s
+        self._take(listing.objects, listing.as_of, now_s)
+        self.listed_s = listing.started_s
         self.on_listed(self.listed_s)
 
     def _apply_events(self, answer: StoreAnswer, now_s: float) -> None:
-        self._confirm(max(self.version.as_of, answer.as_of), now_s)
-        if not answer.items:
-            return
-        self.objects = dict(self.objects)
+        objects = dict(self.objects)
         for item in answer.items:
+            known = objects.get(item.name)
+            if known is not None and 0 < item.revision < known.revision:
+                # A later page of the list already had a newer version.
+                continue
             if item.is_removed:
-                self.objects.pop(item.name, None)
+                objects.pop(item.name, None)
             else:
-                self.objects[item.name] = item
-        self._due_s = now_s + self.batch_delay_s
-        self.on_objects(self.objects)
+                objects[item.name] = item
+        as_of = max(self.version.as_of, answer.as_of)
+        if answer.items:
+            self._due_s = now_s + self.batch_delay_s
+            self._take(objects, as_of, now_s)
+        else:
+            self._confirm(as_of, now_s)
+
+    def _take(self, objects: Objects, as_of: int, now_s: float) -> None:
+        """Replaces the copy by one that is complete up to `as_of`."""
+        self._needs_list = False
+        self._listing = Listing()
+        self._confirm(as_of, now_s)
+        self.objects = objects
+        self.on_objects(objects)
+
+    def _confirm(self, as_of: int, now_s: float) -> None:
+        self.version.as_of = as_of
+        self.version.confirmed_s = now_s
--- a/features/node_store.feature
+++ b/features/node_store.feature
@@ -3,11 +3,11 @@
   Scenario: A list in pages, then a watch from its revision
     Given a watcher of agents
     Then it requests a list
-    When a page with a, b arrives, with more to come
+    When a page with a, b arrives, as of 38, with more to come
     Then it requests a list after b
     When the last page arrives with c, as of 40
     Then the objects are a, b, c
-    And it requests a watch from 40
+    And it requests a watch from 38
 
   Scenario: Watch events update the objects
     Given a watcher that listed a, b, as of 40
@@ -111,3 +111,20 @@
     Given a balancer with manifest 4
     When the store delivers manifest 3 of an older revision
     Then manifest 4 is in force
+
+  # Guards against evacuations that are undone by the answer to an older call,
+  # or by an older copy of a peer after the store dropped its history.
+  Scenario Outline: A copy never goes back, however calls and peers' copies cross
+    Given 300 random runs of a watcher, with pages of <page_items> objects
+    Then no copy goes back, and each ends as the store is
+
+    Examples:
+      | page_items |
+      | 3          |
+      | 1          |
+
+  Scenario: A peer's older copy is not adopted while the objects are listed again
+    Given a watcher that listed a, b, as of 40
+    When the watch ends with the result history gone
+    And a peer offers a copy with a, as of 39
+    Then the objects are a, b
--- a/features/steps/node_store_steps.py
+++ b/features/steps/node_store_steps.py
@@ -34,6 +34,7 @@
     make_announcer,
     make_context,
 )
+from features.builders.store_history import WatcherRun
 
 
 @given('a watcher of agents')
@@ -47,10 +48,10 @@
     context.bench.list_all(names, as_of)
 
 
-@when('a page with {names} arrives, with more to come')
-def step_more(context, names):
+@when('a page with {names} arrives, as of {as_of:d}, with more to come')
+def step_more(context, names, as_of):
     items = items_of(names)
-    context.bench.end_call(AnswerTag.DONE, *items, has_more=True)
+    context.bench.end_call(AnswerTag.DONE, *items, as_of=as_of, has_more=True)
 
 
 @when('the last page arrives with {names}, as of {as_of:d}')
@@ -73,6 +74,28 @@
     context.bench.end_call(AnswerTag(result))
 
 
+@when('a peer offers a copy with {names}, as of {as_of:d}')
+def step_peer_copy(context, names, as_of):
+    bench = context.bench
+    objects = {item.name: item for item in items_of(names)}
+    bench.watcher.adopt(objects, as_of, bench.now_s)
+
+
+@given(
+    '{count:d} random runs of a watcher, with pages of {page_items:d} objects'
+)
+def step_runs(context, count, page_items):
+    context.runs = [WatcherRun(seed, page_items) for seed in range(count)]
+
+
+@then('no copy goes back, and each ends as the store is')
+def step_never_back(context):
+    for run in context.runs:
+        run.run()
+        expected = run.store.objects_at(run.store.revision)
+        assert run.settle() == expected, run.seed
+
+
 @when('every call fails for {seconds:g} s')
 def step_outage(context, seconds):
     bench = context.bench
