--- a/features/builders/store_history.py
+++ b/features/builders/store_history.py
@@ -15,7 +15,9 @@
 from cumindrift.fleet.watcher import KindWatcher, Objects
 
 NAMES = ('hel-a', 'esp-b', 'van-c')
-STEPS_PER_RUN = 150
+STEPS_PER_RUN = 300
+# Longer than the pause of a watcher after a failure and after a change.
+STEP_S = 1.0
 # How many revisions a peer's copy may be behind the store.
 PEER_LAG_MAX = 6
 
@@ -86,24 +88,27 @@
 
     def run(self) -> None:
         """Takes random steps; checks the copy after each one."""
-        steps = (
-            self._change,
-            self._start,
-            self._execute,
-            self._deliver,
-            self._adopt,
-            self._list_again,
-            self._lose,
+        weights = {
+            self._change: 3,
+            self._start: 4,
+            self._execute: 3,
+            self._deliver: 2,
+            self._adopt: 2,
+            self._list_again: 1,
+            self._lose: 1,
+        }
+        chosen = self.random.choices(
+            list(weights), list(weights.values()), k=STEPS_PER_RUN
         )
-        for _ in range(STEPS_PER_RUN):
-            self.random.choice(steps)()
-            self.now_s += 0.1
+        for step in chosen:
+            step()
+            self.now_s += STEP_S
             self._check()
 
     def settle(self) -> Objects:
         """Lets all calls succeed; returns the copy in the end."""
         for _ in range(STEPS_PER_RUN):
-            self.now_s += 2.0
+            self.now_s += STEP_S
             self._start()
             self._execute()
             self._deliver()
