Place no SYN before the evacuations have been read

What callers could see: flows opened in an evacuated data centre through a balancer that had just started. Cause: the placer asked for a manifest and for agents, never whether evacuations were known; the default was that nothing is evacuated. /ready is 503 then, but routers use such a balancer when fewer than half of a data centre's are ready. Change: while evacuations are unknown no agent is a candidate. The SYN waits as it does when every agent refuses, and is given up after a second without a reset, as by any balancer whose copy is incomplete. Both new scenarios fail before: the SYN is sent.

--- a/cumindrift/steering/balancer/placer.py
+++ b/cumindrift/steering/balancer/placer.py
@@ -109,7 +109,7 @@
             hint.service = pick_service(shares, draw) or shares[0].service
         agents = self._agents(hint, now_s)
         if not agents:
-            self._wait_for_capacity(packet, hint, now_s)
+            self._wait_for_agents(packet, hint, now_s)
             return
         first = agents[0]
         hint.agent_ip = first.ip
@@ -135,16 +135,17 @@
         others = tuple(entry.ip for entry in agents[1:CANDIDATES_MAX])
         self._forward(packet, hint, others)
 
-    def _wait_for_capacity(
+    def _wait_for_agents(
         self,
         packet: FlowPacket,
         hint: Hint,
         now_s: float,
     ) -> None:
-        """Schedules a retry for a SYN that all agents refused.
+        """Schedules a retry for a SYN that no agent can take now.
 
         Targets that restart or drain are available again or replaced within
-        moments. At the deadline, the SYN is refused.
+        moments, and a balancer that starts reads the store within moments. At
+        the deadline, the SYN is refused.
         """
         if now_s - hint.first_sent_s >= OPEN_DEADLINE_S - OPEN_RETRY_S:
             self._refuse(packet, ResultCode.NO_ROOM)
@@ -155,10 +156,17 @@
         self.waiting[packet.flow_key] = hint
 
     def _agents(self, hint: Hint, now_s: float) -> list[AgentEntry]:
-        """Returns the untried agents, best first."""
+        """Returns the untried agents, best first.
+
+        There are none before the evacuations are known: any of them could be
+        in an evacuated data centre.
+        """
+        directory = self.state.directory
+        if not directory.has_evacuations:
+            return []
         untried = [
             entry
-            for entry in self.state.directory.agents_of(hint.service)
+            for entry in directory.agents_of(hint.service)
             if entry.ip not in hint.tried
         ]
         ordered = self.policy(
--- a/features/node_balancer.feature
+++ b/features/node_balancer.feature
@@ -76,6 +76,25 @@
     Then the frame goes to agent 2
     And the first frame names 0 candidates and the service's digest
 
+  # Guards against new flows to an evacuated data centre from a balancer that
+  # has read the manifest and the agents, but not yet the evacuations.
+  Scenario: A SYN waits until the evacuations have been read
+    Given a balancer that has not read the evacuations
+    When the client sends a SYN
+    And 0.5 s go by
+    Then nothing is sent and nothing is reset
+    When data centres zone-1 and zone-3 are evacuated
+    And 0.15 s go by
+    Then the frame goes to agent 2
+
+  Scenario: Without the evacuations a SYN is given up in silence
+    Given a balancer that has not read the evacuations
+    When the client sends a SYN
+    And 1.2 s go by
+    And data centres zone-1 and zone-3 are evacuated
+    And 0.5 s go by
+    Then nothing is sent and nothing is reset
+
   Scenario: An answer that waits in the socket does not count as missing
     Given a balancer that knows 3 agents
     When the client sends a SYN
--- a/features/steps/node_balancer_steps.py
+++ b/features/steps/node_balancer_steps.py
@@ -46,7 +46,14 @@
     context.bench.open_flow(number)
 
 
+@given('a balancer that has not read the evacuations')
+def step_no_evacuations(context):
+    context.bench = BalancerBench()
+    context.bench.directory.has_evacuations = False
+
+
 @given('data centres {first} and {second} are evacuated')
+@when('data centres {first} and {second} are evacuated')
 def step_evacuated(context, first, second):
     context.bench.directory.apply_evacuations(frozenset((first, second)))
 
