A SYN of a flow key that was opened long ago is a new flow

What callers could see: a new flow that follows an old one of the same port into an evacuated data centre, or to a draining target. Cause: a SYN with a confirmed hint followed it however old it was, and the agent delivered a SYN of any flow it knew, past every reason to refuse. Both took each such SYN for a retransmission. Change: only a SYN within 1.4 s of the first, the time in which a client gives up, counts as one; later ones are placed, and checked by the agent, like any other. The same cause at the agent broke draining, not only evacuation.

--- a/cumindrift/steering/agent/flow.py
+++ b/cumindrift/steering/agent/flow.py
@@ -4,6 +4,7 @@
 
 from cumindrift.steering.frame import ForwardedPacket
 from cumindrift.steering.packet import (
+    OPEN_ATTEMPT_S,
     FlowPacket,
     acknowledges_opening,
     is_after,
@@ -47,6 +48,10 @@
     has_client_closed: bool = False
     has_target_closed: bool = False
 
+    def is_of_attempt(self, now_s: float) -> bool:
+        """Returns whether a SYN that arrives now may belong to this flow."""
+        return now_s - self.opened_s <= OPEN_ATTEMPT_S
+
     @property
     def is_confirmed(self) -> bool:
         """Returns whether the target is known to hold the flow."""
--- a/cumindrift/steering/agent/opener.py
+++ b/cumindrift/steering/agent/opener.py
@@ -38,7 +38,8 @@
         state = self.state
         key = packet.flow_key
         known = state.table.flows.get(key)
-        if known is not None and not state.target.is_gone:
+        is_known = known is not None and known.is_of_attempt(now_s)
+        if is_known and not state.target.is_gone:
             # A retransmitted SYN follows the first.
             known.origin_ip = forwarded.origin_ip
             state.output.deliver(packet.octets)
--- a/cumindrift/steering/balancer/hint.py
+++ b/cumindrift/steering/balancer/hint.py
@@ -2,7 +2,7 @@
 
 from attrs import define, field
 
-from cumindrift.steering.packet import FlowPacket
+from cumindrift.steering.packet import OPEN_ATTEMPT_S, FlowPacket
 
 HINTS_MAX = 65_536
 
@@ -25,6 +25,10 @@
     first_sent_s: float = 0.0
     tried: set[str] = field(factory=set)
 
+    def is_of_attempt(self, now_s: float) -> bool:
+        """Returns whether a SYN that arrives now may belong to this flow."""
+        return now_s - self.first_sent_s <= OPEN_ATTEMPT_S
+
 
 @define(slots=True, eq=False, repr=False)
 class HintTable:
--- a/cumindrift/steering/balancer/placer.py
+++ b/cumindrift/steering/balancer/placer.py
@@ -44,6 +44,9 @@
         """Handles a SYN or a retransmission of one."""
         key = packet.flow_key
         hint = self.state.hints.get(key)
+        if hint is not None and not hint.is_of_attempt(now_s):
+            # The port is used again: the new flow may go elsewhere.
+            hint = None
         if hint is not None and hint.is_confirmed:
             if not self.agent_monitor.is_silent(hint.agent_ip):
                 # A retransmitted SYN follows the first.
--- a/cumindrift/steering/packet.py
+++ b/cumindrift/steering/packet.py
@@ -5,6 +5,9 @@
 # Client port, service address, service port, client address: 12 octets.
 FLOW_KEY_BYTES = 12
 SEQUENCE_SPACE = 1 << 32
+# A client retransmits a SYN within this time, then gives the attempt up. A
+# later SYN of the same flow key opens a new flow.
+OPEN_ATTEMPT_S = 1.4
 
 
 @define(slots=True, eq=False, repr=False)
--- a/features/node_agent.feature
+++ b/features/node_agent.feature
@@ -69,6 +69,17 @@
     And a SYN arrives
     Then the target got 2 packets, unchanged
 
+  # Guards against new flows to a draining target from a client port that was
+  # used before.
+  Scenario: A SYN of a flow that was opened long ago is a new flow
+    Given an agent whose target serves
+    And an open flow
+    When its target starts to drain
+    And 2 s go by
+    And a SYN arrives
+    Then the target got 0 packets
+    And the SYN goes to 10.1.0.14 with 1 candidate left
+
   Scenario: An unanswered SYN is forwarded, and the target is checked
     Given an agent whose target serves
     When a SYN arrives
--- a/features/node_balancer.feature
+++ b/features/node_balancer.feature
@@ -26,6 +26,17 @@
     Then the frames sent are OPEN
     And the frame goes to agent 2
 
+  # Guards against new flows to an evacuated data centre from a client port that
+  # was used before.
+  Scenario: A SYN of a flow that was opened long ago is placed anew
+    Given a balancer that knows 3 agents
+    And a flow that agent 2 holds
+    When 2 s go by
+    And data centres zone-2 and zone-3 are evacuated
+    And the client sends a SYN
+    Then the frames sent are OPEN
+    And the frame goes to agent 1
+
   Scenario: An unanswered SYN marks its agent as silent and goes to another agent
     Given a balancer that knows 3 agents
     When the client sends a SYN
