Agents carry the news of an evacuation between balancers

What callers saw: new flows to a data centre that had been taken out, for as long as the store turned a balancer away or its watch hung. Cause: only manifests were noticed as late. Frames and reports carry the manifest's version, so an outdated balancer asks the store and then its peers; for evacuations a balancer had its own watch and nothing else. Class: a belief with a time bound that has one way to arrive, and no sign of its age. Change: each frame of a balancer names its copy of the evacuations, each report the newest change that the agent has heard of. A balancer that stays behind for 0.5 s reads the evacuations again, from the store and from a peer, whether or not its calls have failed by then. Cost: 16 octets a frame, 8 a report, no call to the store while nobody is behind.

--- a/cumindrift/fleet/context.py
+++ b/cumindrift/fleet/context.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 
 from cumindrift.event import EventLog
+from cumindrift.fleet.copy_version import NOT_READ
 from cumindrift.fleet.link import CallSource, StoreHealth, StoreLink
 from cumindrift.fleet.settings import NodeSettings
 from cumindrift.port import DatagramPort
@@ -55,6 +56,8 @@
     reported_ready: bool = False
     # The newest manifest version that a peer is known to use.
     peer_manifest_version: int = 0
+    # A revision up to which the evacuations are known to a peer.
+    peer_evacuations_as_of: int = NOT_READ
     # Passes changed settings to the core.
     on_settings: Callable[[NodeSettings], None] = lambda _settings: None
     # Starts the work that has to be done before the process ends.
@@ -75,12 +78,19 @@
 
     @property
     def needs_peers(self) -> bool:
-        """Tells whether to read from peers what the store cannot deliver."""
+        """Tells whether to read from peers what the store cannot deliver.
+
+        For an evacuation it does not matter whether a call to the store has
+        failed: a call that hangs fails too late for it.
+        """
         directory = self.directory
-        if not self.watchers or not self.health.is_unreachable:
+        if not self.watchers:
             return False
+        if self.peer_evacuations_as_of > directory.evacuations_version.as_of:
+            return True
         is_behind = self.peer_manifest_version > directory.manifest.version
-        return is_behind or not directory.is_complete
+        is_missing = is_behind or not directory.is_complete
+        return is_missing and self.health.is_unreachable
 
     def apply_settings(self, settings: NodeSettings) -> bool:
         """Applies changed settings; False if they require a restart."""
--- a/cumindrift/fleet/watcher.py
+++ b/cumindrift/fleet/watcher.py
@@ -164,16 +164,29 @@
             self._due_s = now_s + self.batch_delay_s
             self._take(objects, as_of, now_s)
         else:
-            self._confirm(as_of, now_s)
+            self.version.confirm(as_of, NOT_READ, now_s)
 
     def _take(self, objects: Objects, as_of: int, now_s: float) -> None:
         """Replaces the copy by one that is complete up to `as_of`."""
         self._needs_list = False
         self._listing = Listing()
-        self._confirm(as_of, now_s)
+        changed_as_of = revision_of_change(self.objects, objects, as_of)
+        self.version.confirm(as_of, changed_as_of, now_s)
         self.objects = objects
         self.on_objects(objects)
 
-    def _confirm(self, as_of: int, now_s: float) -> None:
-        self.version.as_of = as_of
-        self.version.confirmed_s = now_s
+
+def revision_of_change(known: Objects, objects: Objects, as_of: int) -> int:
+    """Returns a revision that includes all changes between two copies.
+
+    For a removal that is the new copy's revision, since the removal's own is
+    not known. NOT_READ if the copies are the same.
+    """
+    if known.keys() - objects.keys():
+        return as_of
+    changed = [
+        item.revision
+        for item in objects.values()
+        if item.name not in known or known[item.name].revision != item.revision
+    ]
+    return max(changed, default=NOT_READ)
--- a/cumindrift/steering/agent/core.py
+++ b/cumindrift/steering/agent/core.py
@@ -60,6 +60,7 @@
         """Handles a client's packet from a balancer or another agent."""
         state = self.state
         self._last_frame_s = now_s
+        state.evacuation.learn(forwarded.evacuations)
         if forwarded.kind is FrameKind.PING:
             state.send_report(forwarded.origin_ip, FrameKind.PONG)
             return
--- a/cumindrift/steering/agent/state.py
+++ b/cumindrift/steering/agent/state.py
@@ -2,8 +2,9 @@
 
 from typing import Any
 
-from attrs import define
+from attrs import define, field
 
+from cumindrift.steering.agent.evacuation import EvacuationKnowledge
 from cumindrift.steering.agent.flow import FlowTable
 from cumindrift.steering.agent.target import TargetState
 from cumindrift.steering.frame import NO_FLOW, AgentReport, FrameKind, Load
@@ -19,6 +20,7 @@
     table: FlowTable
     # The newest manifest version that a balancer has used.
     manifest_version: int = 0
+    evacuation: EvacuationKnowledge = field(factory=EvacuationKnowledge)
 
     def service_of(self, fields: dict[str, Any]) -> str:
         """Returns the service of the agent's target."""
@@ -54,6 +56,7 @@
             self.target.knows_all_flows or is_authoritative,
             load,
             octets,
+            self.evacuation.newest.changed_as_of,
         )
         self.output.send_report(ip, report)
 
--- a/cumindrift/steering/balancer/agent_monitor.py
+++ b/cumindrift/steering/balancer/agent_monitor.py
@@ -96,7 +96,7 @@
             load = self.loads.get(entry.ip)
             if load is None or not load.silent_since_s:
                 continue
-            state.output.forward(entry.ip, ping)
+            state.forward(entry.ip, ping)
             if now_s - load.silent_since_s >= REMOVED_AFTER_S:
                 load.silent_since_s = now_s
                 state.events.note_urgently(
--- a/cumindrift/steering/balancer/core.py
+++ b/cumindrift/steering/balancer/core.py
@@ -9,6 +9,7 @@
 from cumindrift.code import ResultCode
 from cumindrift.registry import Registry
 from cumindrift.steering.balancer.agent_monitor import AgentMonitor
+from cumindrift.steering.balancer.evacuation_news import EvacuationNews
 from cumindrift.steering.balancer.hint import Hint
 from cumindrift.steering.balancer.locator import HolderLocator
 from cumindrift.steering.balancer.placer import Placer
@@ -35,6 +36,7 @@
     agent_monitor: AgentMonitor = field(init=False)
     placer: Placer = field(init=False)
     locator: HolderLocator = field(init=False)
+    evacuation_news: EvacuationNews = field(init=False)
     _next_expiry_s: float = 0.0
 
     def __attrs_post_init__(self) -> None:
@@ -47,6 +49,7 @@
             self.random,
         )
         self.locator = HolderLocator(self.state, self.agent_monitor)
+        self.evacuation_news = EvacuationNews(self.state, self.random)
 
     def on_packet(self, octets: bytes, now_s: float) -> None:
         """Handles a packet that a router sent to this balancer."""
@@ -70,11 +73,13 @@
         state = self.state
         if report.manifest_version > state.directory.manifest.version:
             state.output.request_manifest(report.manifest_version)
+        self.evacuation_news.on_report(report.evacuations_changed_as_of)
         report_handlers.get(report.kind.name)(self, ip, report, now_s)
 
     def tick(self, now_s: float) -> bool:
         """Runs the timers that are due; True while an answer is pending."""
         self.agent_monitor.tick(now_s)
+        self.evacuation_news.tick(now_s)
         if now_s >= self._next_expiry_s:
             self._next_expiry_s = now_s + EXPIRE_PERIOD_S
             self._expire(now_s)
--- a/cumindrift/steering/balancer/locator.py
+++ b/cumindrift/steering/balancer/locator.py
@@ -89,7 +89,7 @@
             search.packet.octets,
             candidate_ips=tuple(agent_ips),
         )
-        state.output.forward(coordinator_ip, forwarded)
+        state.forward(coordinator_ip, forwarded)
 
     def _next_coordinator(self, search: Search) -> str:
         """Returns the next coordinator: record keepers, then other agents."""
--- a/cumindrift/steering/balancer/placer.py
+++ b/cumindrift/steering/balancer/placer.py
@@ -232,4 +232,4 @@
             candidate_ips=candidate_ips,
             keeper_ips=self.state.directory.keepers_of(packet.flow_key),
         )
-        self.state.output.forward(hint.agent_ip, forwarded)
+        self.state.forward(hint.agent_ip, forwarded)
--- a/cumindrift/steering/balancer/port.py
+++ b/cumindrift/steering/balancer/port.py
@@ -6,7 +6,7 @@
     request_full_list,
 )
 from cumindrift.fleet.context import NodeContext
-from cumindrift.platform.documents import MANIFEST_KIND
+from cumindrift.platform.documents import EVACUATION_KIND, MANIFEST_KIND
 from cumindrift.port import DatagramPort
 from cumindrift.steering.balancer.core import BalancerCore
 from cumindrift.steering.frame import AgentReport, ForwardedPacket
@@ -36,6 +36,20 @@
         )
         request_full_list(self._context, MANIFEST_KIND)
 
+    def request_evacuations(self, revision: int) -> None:
+        """Requests the evacuations; agents have heard of a newer change."""
+        context = self._context
+        if revision > context.peer_evacuations_as_of:
+            context.peer_evacuations_as_of = revision
+            version = context.directory.evacuations_version
+            context.events.note_urgently(
+                'evacuations-outdated',
+                evacuations=version.as_of,
+                evacuations_age_s=version.age_s(context.clock()),
+                expected_revision=revision,
+            )
+        request_full_list(context, EVACUATION_KIND)
+
     def _on_frame(
         self,
         message: ForwardedPacket | AgentReport,
--- a/cumindrift/steering/balancer/state.py
+++ b/cumindrift/steering/balancer/state.py
@@ -17,6 +17,11 @@
     directory: Directory
     hints: HintTable = field(factory=HintTable, kw_only=True)
 
+    def forward(self, ip: str, forwarded: ForwardedPacket) -> None:
+        """Sends a frame to an agent, with the version of the evacuations."""
+        forwarded.evacuations = self.directory.evacuations_version.stamp
+        self.output.forward(ip, forwarded)
+
     def forward_to_holder(self, packet: FlowPacket, hint: Hint) -> None:
         """Sends a packet of an open flow to the agent that its hint names."""
         forwarded = ForwardedPacket(
@@ -25,4 +30,4 @@
             packet.octets,
             incarnation=hint.incarnation,
         )
-        self.output.forward(hint.agent_ip, forwarded)
+        self.forward(hint.agent_ip, forwarded)
--- a/cumindrift/steering/frame.py
+++ b/cumindrift/steering/frame.py
@@ -11,11 +11,12 @@
 
 from attrs import define, field
 
+from cumindrift.fleet.copy_version import NO_COPY, NOT_READ, CopyStamp
 from cumindrift.steering.packet import FLOW_KEY_BYTES
 
 HOPS_MAX = 8
-_FORWARDED_HEADER = Struct('>BBBx4sQQIfH')
-_REPORT_HEADER = Struct(f'>BBxx{FLOW_KEY_BYTES}sQQHHHH')
+_FORWARDED_HEADER = Struct('>BBBx4sQQIfHqq')
+_REPORT_HEADER = Struct(f'>BBxx{FLOW_KEY_BYTES}sQQHHHHq')
 _IP_BYTES = 4
 # The flow key of reports that concern no flow, such as PONG.
 NO_FLOW = bytes(FLOW_KEY_BYTES)
@@ -74,6 +75,8 @@
         candidate_ips: In OPEN, the agents to try after this one; in
             DELEGATED_SEARCH, the agents to ask.
         keeper_ips: The agents that record which agent holds the flow.
+        evacuations: The copy of the evacuations by which the balancer
+            decided.
         sender_ip: The node that sent this hop. It is taken from the
             datagram's source address and not part of the frame.
     """
@@ -88,6 +91,7 @@
     cold_rate: float = 0.0
     candidate_ips: tuple[str, ...] = ()
     keeper_ips: tuple[str, ...] = ()
+    evacuations: CopyStamp = NO_COPY
     sender_ip: str = ''
 
 
@@ -114,6 +118,8 @@
     is_authoritative: bool = False
     load: Load = field(factory=Load)
     packet: bytes = b''
+    # The newest change of the evacuations that the agent has heard of.
+    evacuations_changed_as_of: int = NOT_READ
 
 
 def service_digest(service: str) -> int:
@@ -133,6 +139,8 @@
         forwarded.service_digest,
         forwarded.cold_rate,
         len(forwarded.candidate_ips),
+        forwarded.evacuations.as_of,
+        forwarded.evacuations.changed_as_of,
     )
     ips = forwarded.candidate_ips + forwarded.keeper_ips
     if ips:
@@ -153,6 +161,7 @@
         min(load.busy_count, _COUNT_MAX),
         min(load.response_ms, _COUNT_MAX),
         min(load.slots, _COUNT_MAX),
+        report.evacuations_changed_as_of,
     )
     return head + report.packet
 
@@ -187,6 +196,7 @@
         head[7],
         ips[:candidate_count],
         ips[candidate_count:],
+        CopyStamp(head[9], head[10]),
     )
 
 
@@ -198,6 +208,7 @@
         head[3],
         head[4],
         bool(head[1]),
-        Load(*head[5:]),
+        Load(*head[5:9]),
         octets[_REPORT_HEADER.size :],
+        head[9],
     )
--- a/features/builders/core.py
+++ b/features/builders/core.py
@@ -61,6 +61,7 @@
     entry_checks: int = 0
     agent_lists: int = 0
     manifests: int = 0
+    evacuation_lists: int = 0
 
     def deliver(self, octets: bytes) -> None:
         """Records a packet to the target."""
@@ -102,6 +103,10 @@
         """Counts the requests for the manifest."""
         self.manifests += 1
 
+    def request_evacuations(self, _revision: int) -> None:
+        """Counts the requests for the evacuations."""
+        self.evacuation_lists += 1
+
     def clear(self) -> None:
         """Discards the recorded packets and reports."""
         for kept in (self.delivered, self.answered, self.resets):
--- a/features/node_agent.feature
+++ b/features/node_agent.feature
@@ -80,6 +80,13 @@
     Then the target got 0 packets
     And the SYN goes to 10.1.0.14 with 1 candidate left
 
+  Scenario: An agent reports the newest change of the evacuations it has heard of
+    Given an agent whose target serves
+    When a frame names the evacuations as of 30, changed as of 27
+    And a frame names the evacuations as of 12, changed as of 12
+    And a frame names the evacuations as of 40, changed as of 9
+    Then its last report names a change of the evacuations as of 27
+
   Scenario: An unanswered SYN is forwarded, and the target is checked
     Given an agent whose target serves
     When a SYN arrives
--- a/features/node_balancer.feature
+++ b/features/node_balancer.feature
@@ -184,6 +184,41 @@
     When agent 1 reports manifest 9
     Then the manifest is requested
 
+  # Guards against new flows to an evacuated data centre from a balancer whose
+  # own watch tells it nothing, while others know.
+  Scenario: A report of a newer evacuation makes the balancer read them again
+    Given a balancer that knows 3 agents
+    And its evacuations are as of 27, confirmed 4 s ago
+    When agent 1 reports that the evacuations changed as of 30
+    And 0.3 s go by
+    Then the evacuations are not requested
+    When 0.3 s go by
+    Then the evacuations are requested
+
+  Scenario: A balancer that reads a change by itself in time requests nothing
+    Given a balancer that knows 3 agents
+    And its evacuations are as of 27, confirmed 4 s ago
+    When agent 1 reports that the evacuations changed as of 30
+    And 0.3 s go by
+    And it reads the evacuations as of 30
+    And 1 s go by
+    Then the evacuations are not requested
+
+  Scenario: Every frame names the balancer's copy of the evacuations
+    Given a balancer that knows 3 agents
+    And its evacuations are as of 27, confirmed 4 s ago
+    And a flow that agent 2 holds
+    When the client sends data
+    And the client sends a SYN from another port
+    Then each frame sent names the evacuations as of 27
+
+  Scenario: A balancer tells agents of a change of the evacuations at once
+    Given a balancer that knows 3 agents
+    And its evacuations are as of 27, confirmed 4 s ago
+    When 0.02 s go by
+    Then 3 PING frames were sent
+    And each frame sent names the evacuations as of 27
+
   Scenario: The log names the copy of the evacuations that a SYN was placed by
     Given a balancer that knows 3 agents
     And its evacuations are as of 27, confirmed 4 s ago
--- a/features/steps/node_agent_steps.py
+++ b/features/steps/node_agent_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 
+from cumindrift.fleet.copy_version import CopyStamp
 from cumindrift.fleet.recorder import decode_record
 from cumindrift.outcome import Refused
 from cumindrift.platform.packet import build_reset, read_from_client
@@ -187,6 +188,21 @@
     context.bench.core.on_deregistered('i-1')
 
 
+@when(
+    'a frame names the evacuations as of {as_of:d}, '
+    'changed as of {changed_as_of:d}'
+)
+def step_stamped(context, as_of, changed_as_of):
+    stamp = CopyStamp(as_of, changed_as_of)
+    context.bench.receive(forwarded(b'', FrameKind.PING, evacuations=stamp))
+
+
+@then('its last report names a change of the evacuations as of {as_of:d}')
+def step_reports_change(context, as_of):
+    _, report = context.bench.output.reports[-1]
+    assert report.evacuations_changed_as_of == as_of
+
+
 @when('{seconds:g} s go by')
 def step_pass(context, seconds):
     context.bench.pass_time(seconds)
--- a/features/steps/node_balancer_steps.py
+++ b/features/steps/node_balancer_steps.py
@@ -60,9 +60,40 @@
 
 @given('its evacuations are as of {as_of:d}, confirmed {age_s:g} s ago')
 def step_evacuations_version(context, as_of, age_s):
-    version = context.bench.directory.evacuations_version
-    version.as_of = as_of
-    version.confirmed_s = context.bench.now_s - age_s
+    bench = context.bench
+    version = bench.directory.evacuations_version
+    version.confirm(as_of, as_of, bench.now_s - age_s)
+
+
+@when('it reads the evacuations as of {as_of:d}')
+def step_reads_evacuations(context, as_of):
+    bench = context.bench
+    bench.directory.evacuations_version.confirm(as_of, as_of, bench.now_s)
+
+
+@when('agent {number:d} reports that the evacuations changed as of {as_of:d}')
+def step_evacuation_news(context, number, as_of):
+    context.bench.report(
+        number, FrameKind.PONG, evacuations_changed_as_of=as_of
+    )
+
+
+@then('the evacuations are not requested')
+def step_no_evacuations_requested(context):
+    assert not context.bench.output.evacuation_lists
+
+
+@then('the evacuations are requested')
+def step_evacuations_requested(context):
+    assert context.bench.output.evacuation_lists
+
+
+@then('each frame sent names the evacuations as of {as_of:d}')
+def step_frames_name(context, as_of):
+    found = {
+        message.evacuations.as_of for _, message in context.bench.output.sent
+    }
+    assert found == {as_of}, found
 
 
 @given('a manifest that sends the address to another service')
--- a/features/steps/node_store_steps.py
+++ b/features/steps/node_store_steps.py
@@ -318,6 +318,27 @@
     first[EVACUATION_KIND].adopt({}, 33, 10.0)
 
 
+@given("the second has the first's objects")
+def step_has_objects(context):
+    step_receives(context)
+
+
+@given('the first has read that {name} is evacuated, as of {as_of:d}')
+def step_first_evacuates(context, name, as_of):
+    objects = {name: StoreItem(name, as_of, {})}
+    context.first.watchers[EVACUATION_KIND].adopt(objects, as_of, 10.0)
+
+
+@when('the second hears that the evacuations changed as of {as_of:d}')
+def step_hears(context, as_of):
+    context.node.peer_evacuations_as_of = as_of
+
+
+@then('{name} is evacuated at the second')
+def step_evacuated(context, name):
+    assert context.node.directory.evacuated == {name}
+
+
 @given('the store does not respond to the second')
 def step_not_answered(context):
     call = StoreCall(CallVerb.LIST, 'config')
--- a/features/steps/node_wire_steps.py
+++ b/features/steps/node_wire_steps.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 
+from cumindrift.fleet.copy_version import CopyStamp
 from cumindrift.outcome import Done, Refused
 from cumindrift.platform.heartbeat import read_heartbeat
 from cumindrift.platform.node_file import read_node_file
@@ -34,7 +35,11 @@
 FRAMES = {
     'a SYN': opening(cold_rate=4.0, keeper_ips=('10.1.2.1',), sender_ip=''),
     'data in a search': forwarded(
-        b'x' * 40, FrameKind.SEARCH, hop_count=2, sender_ip=''
+        b'x' * 40,
+        FrameKind.SEARCH,
+        hop_count=2,
+        sender_ip='',
+        evacuations=CopyStamp(40, 27),
     ),
     'a report with a packet': AgentReport(
         FrameKind.RETURNED,
@@ -44,6 +49,7 @@
         True,
         Load(1, 2, 3, 4),
         b'packet',
+        27,
     ),
 }
 
