An agent refuses new flows that an outdated balancer sends to an evacuated data centre

What callers could see: new flows to an evacuated data centre in the second or two until an outdated balancer has read the evacuations, and by frames that a suspended balancer sends when it wakes. Cause: agents knew nothing of evacuations and took whatever a balancer sent, so the decision was made where the belief may be old, never where it takes effect. Change: a balancer's frame says whether its receiver's data centre is evacuated in that copy. An agent that was told passes on a SYN that was placed by a copy from before that change. A copy that is complete up to a later revision may know that the evacuation is over, so its SYNs are taken: nothing has to be withdrawn, and a balancer that has just read the store is never refused. Established flows stay. The flag has the place of a padding octet.

--- a/cumindrift/fleet/directory.py
+++ b/cumindrift/fleet/directory.py
@@ -36,6 +36,8 @@
     evacuations_version: CopyVersion = field(factory=CopyVersion)
     has_agents: bool = False
     has_evacuations: bool = False
+    # The addresses of the agents in evacuated data centres.
+    evacuated_ips: frozenset[str] = frozenset()
     ring: KeeperRing = field(factory=KeeperRing)
     _by_service: dict[str, tuple[AgentEntry, ...]] = field(factory=dict)
 
@@ -61,13 +63,13 @@
         self.agents = agents
         self.has_agents = True
         self.ring = KeeperRing(self.agent_ips())
-        self._by_service.clear()
+        self._update_views()
 
     def apply_evacuations(self, data_centres: frozenset[str]) -> None:
         """Replaces the names of data centres that get no new flows."""
         self.evacuated = data_centres
         self.has_evacuations = True
-        self._by_service.clear()
+        self._update_views()
 
     def agents_of(self, service: str) -> tuple[AgentEntry, ...]:
         """Returns the agents of a service outside evacuated data centres."""
@@ -89,3 +91,12 @@
     def agent_ips(self) -> frozenset[str]:
         """Returns the addresses of the agents of all services."""
         return frozenset(entry.ip for entry in self.agents.values())
+
+    def _update_views(self) -> None:
+        """Derives again what depends on agents and evacuations."""
+        self._by_service.clear()
+        self.evacuated_ips = frozenset(
+            entry.ip
+            for entry in self.agents.values()
+            if entry.data_centre in self.evacuated
+        )
--- a/cumindrift/steering/agent/core.py
+++ b/cumindrift/steering/agent/core.py
@@ -60,7 +60,8 @@
         """Handles a client's packet from a balancer or another agent."""
         state = self.state
         self._last_frame_s = now_s
-        state.evacuation.learn(forwarded.evacuations)
+        if state.evacuation.learn(forwarded):
+            state.log_evacuation(forwarded.origin_ip)
         if forwarded.kind is FrameKind.PING:
             state.send_report(forwarded.origin_ip, FrameKind.PONG)
             return
@@ -326,6 +327,7 @@
             origin=opening.origin_ip,
             hops=opening.hop_count,
             manifest=opening.manifest_version,
+            evacuations=opening.evacuations.as_of,
             flows=table.open_count,
             busy=table.busy_count,
             response_ms=table.response_ms,
--- a/cumindrift/steering/agent/opener.py
+++ b/cumindrift/steering/agent/opener.py
@@ -97,6 +97,8 @@
     def _refusal(
         self, forwarded: ForwardedPacket, now_s: float
     ) -> Refusal | None:
+        if self.state.evacuation.forbids(forwarded.evacuations):
+            return Refusal.EVACUATED
         target = self.state.target
         heartbeat = target.last_heartbeat
         if heartbeat is not None:
@@ -127,6 +129,7 @@
             hops=forwarded.hop_count,
             to=candidates[0] if is_forwarded else forwarded.origin_ip,
             manifest=forwarded.manifest_version,
+            evacuations=forwarded.evacuations.as_of,
             beat_age_s=state.heartbeat_age_s(),
         )
         if is_forwarded:
--- a/cumindrift/steering/agent/state.py
+++ b/cumindrift/steering/agent/state.py
@@ -60,6 +60,15 @@
         )
         self.output.send_report(ip, report)
 
+    def log_evacuation(self, origin_ip: str) -> None:
+        """Logs that this agent's data centre was evacuated or is in use."""
+        self.events.note_urgently(
+            'evacuation-heard',
+            is_evacuated=self.evacuation.is_evacuated,
+            evacuations=self.evacuation.newest.as_of,
+            origin=origin_ip,
+        )
+
     def heartbeat_age_s(self) -> float:
         """Returns the age of the target's last heartbeat."""
         return round(self.events.clock() - self.target.last_heartbeat_s, 3)
--- a/cumindrift/steering/agent/target.py
+++ b/cumindrift/steering/agent/target.py
@@ -35,6 +35,7 @@
     SILENT = 'silent'
     GONE = 'gone'
     FULL = 'full'
+    EVACUATED = 'evacuated'
 
 
 @unique
--- a/cumindrift/steering/balancer/state.py
+++ b/cumindrift/steering/balancer/state.py
@@ -19,7 +19,9 @@
 
     def forward(self, ip: str, forwarded: ForwardedPacket) -> None:
         """Sends a frame to an agent, with the version of the evacuations."""
-        forwarded.evacuations = self.directory.evacuations_version.stamp
+        directory = self.directory
+        forwarded.evacuations = directory.evacuations_version.stamp
+        forwarded.is_evacuated = ip in directory.evacuated_ips
         self.output.forward(ip, forwarded)
 
     def forward_to_holder(self, packet: FlowPacket, hint: Hint) -> None:
--- a/cumindrift/steering/frame.py
+++ b/cumindrift/steering/frame.py
@@ -15,7 +15,7 @@
 from cumindrift.steering.packet import FLOW_KEY_BYTES
 
 HOPS_MAX = 8
-_FORWARDED_HEADER = Struct('>BBBx4sQQIfHqq')
+_FORWARDED_HEADER = Struct('>BBB?4sQQIfHqq')
 _REPORT_HEADER = Struct(f'>BBxx{FLOW_KEY_BYTES}sQQHHHHq')
 _IP_BYTES = 4
 # The flow key of reports that concern no flow, such as PONG.
@@ -77,6 +77,8 @@
         keeper_ips: The agents that record which agent holds the flow.
         evacuations: The copy of the evacuations by which the balancer
             decided.
+        is_evacuated: Whether that copy names the data centre of the agent
+            to which the balancer sent the frame.
         sender_ip: The node that sent this hop. It is taken from the
             datagram's source address and not part of the frame.
     """
@@ -92,6 +94,7 @@
     candidate_ips: tuple[str, ...] = ()
     keeper_ips: tuple[str, ...] = ()
     evacuations: CopyStamp = NO_COPY
+    is_evacuated: bool = False
     sender_ip: str = ''
 
 
@@ -133,6 +136,7 @@
         forwarded.kind,
         forwarded.hop_count,
         len(forwarded.keeper_ips),
+        forwarded.is_evacuated,
         inet_aton(forwarded.origin_ip),
         forwarded.incarnation,
         forwarded.manifest_version,
@@ -179,7 +183,7 @@
 def _decode_forwarded(octets: bytes) -> ForwardedPacket:
     head = _FORWARDED_HEADER.unpack_from(octets)
     start = _FORWARDED_HEADER.size
-    candidate_count = head[8]
+    candidate_count = head[9]
     packet_at = start + (candidate_count + head[2]) * _IP_BYTES
     ips = tuple(
         inet_ntoa(octets[place : place + _IP_BYTES])
@@ -187,16 +191,17 @@
     )
     return ForwardedPacket(
         FrameKind(head[0]),
-        inet_ntoa(head[3]),
+        inet_ntoa(head[4]),
         octets[packet_at:],
         head[1],
-        head[4],
         head[5],
         head[6],
         head[7],
+        head[8],
         ips[:candidate_count],
         ips[candidate_count:],
-        CopyStamp(head[9], head[10]),
+        CopyStamp(head[10], head[11]),
+        head[3],
     )
 
 
--- a/features/node_balancer.feature
+++ b/features/node_balancer.feature
@@ -212,6 +212,14 @@
     And the client sends a SYN from another port
     Then each frame sent names the evacuations as of 27
 
+  Scenario: A balancer tells an agent that its data centre is evacuated
+    Given a balancer that knows 3 agents
+    And a flow that agent 2 holds
+    And data centres zone-2 and zone-3 are evacuated
+    When the client sends data
+    Then the frame goes to agent 2
+    And the frame says that the agent is in an evacuated data centre
+
   Scenario: A balancer tells agents of a change of the evacuations at once
     Given a balancer that knows 3 agents
     And its evacuations are as of 27, confirmed 4 s ago
--- a/features/steps/node_balancer_steps.py
+++ b/features/steps/node_balancer_steps.py
@@ -96,6 +96,11 @@
     assert found == {as_of}, found
 
 
+@then('the frame says that the agent is in an evacuated data centre')
+def step_says_evacuated(context):
+    assert context.bench.output.sent[-1][1].is_evacuated
+
+
 @given('a manifest that sends the address to another service')
 def step_other_service(context):
     context.bench.put_manifest(4, 'asiakirja')
--- a/features/steps/node_wire_steps.py
+++ b/features/steps/node_wire_steps.py
@@ -40,6 +40,7 @@
         hop_count=2,
         sender_ip='',
         evacuations=CopyStamp(40, 27),
+        is_evacuated=True,
     ),
     'a report with a packet': AgentReport(
         FrameKind.RETURNED,
