An agent returns SYNs that waited while it was suspended

What callers could see: a flow that opens seconds after its SYN, at a target that has been evacuated or drained meanwhile, and for a client that has given up. Cause: frames carry no time, and an agent that was stopped, suspended or busy took what waited in its socket for fresh; a SYN that its target had left unanswered went on to a candidate chosen before the pause. Change: an agent knows when it had last read all input, by a clock that counts suspended time. A SYN that may have waited for more than 1.4 s, in which clients give up, goes back to its balancer, which chooses by what it knows now.

--- a/cumindrift/steering/agent/core.py
+++ b/cumindrift/steering/agent/core.py
@@ -169,7 +169,11 @@
         )
 
     def tick(self, now_s: float) -> bool:
-        """Runs the timers that are due; True while an answer is pending."""
+        """Runs the timers that are due; True while an answer is pending.
+
+        All input must have been read before.
+        """
+        self.state.input_age.mark_read()
         waits = [
             self.prober.tick(now_s),
             self.opener.tick(now_s),
--- a/cumindrift/steering/agent/opener.py
+++ b/cumindrift/steering/agent/opener.py
@@ -12,7 +12,7 @@
     FrameKind,
     service_digest,
 )
-from cumindrift.steering.packet import FlowPacket
+from cumindrift.steering.packet import OPEN_ATTEMPT_S, FlowPacket
 
 # A target normally answers a SYN within a millisecond; without an answer for
 # this long, it counts as silent.
@@ -90,13 +90,18 @@
             self._waiting.pop(key)
             flow = self.state.table.remove(key)
             self.liveness.on_open_unanswered(now_s)
-            if flow is not None:
-                self.on_not_opened(flow, flow.client_packet, Refusal.SILENT)
+            if flow is None:
+                continue
+            is_late = now_s - opened_s > OPEN_ATTEMPT_S
+            reason = Refusal.LATE if is_late else Refusal.SILENT
+            self.on_not_opened(flow, flow.client_packet, reason)
         return False
 
     def _refusal(
         self, forwarded: ForwardedPacket, now_s: float
     ) -> Refusal | None:
+        if self.state.input_age.max_wait_s() > OPEN_ATTEMPT_S:
+            return Refusal.LATE
         if self.state.evacuation.forbids(forwarded.evacuations):
             return Refusal.EVACUATED
         target = self.state.target
@@ -117,11 +122,16 @@
         packet: FlowPacket,
         reason: Refusal,
     ) -> None:
-        """Sends a SYN to the next candidate, or reports it as refused."""
+        """Sends a SYN to the next candidate, or reports it as refused.
+
+        A late SYN goes back to the balancer, which may know better candidates
+        by now, or that the client has given up.
+        """
         state = self.state
         key = packet.flow_key
         candidates = forwarded.candidate_ips
-        is_forwarded = bool(candidates) and forwarded.hop_count < HOPS_MAX
+        has_next = bool(candidates) and forwarded.hop_count < HOPS_MAX
+        is_forwarded = has_next and reason is not Refusal.LATE
         state.log_decision(
             'open-passed' if is_forwarded else 'open-refused',
             key,
--- a/cumindrift/steering/agent/state.py
+++ b/cumindrift/steering/agent/state.py
@@ -6,6 +6,7 @@
 
 from cumindrift.steering.agent.evacuation import EvacuationKnowledge
 from cumindrift.steering.agent.flow import FlowTable
+from cumindrift.steering.agent.input_age import InputAge
 from cumindrift.steering.agent.target import TargetState
 from cumindrift.steering.frame import NO_FLOW, AgentReport, FrameKind, Load
 from cumindrift.steering.state import CoreState
@@ -21,6 +22,7 @@
     # The newest manifest version that a balancer has used.
     manifest_version: int = 0
     evacuation: EvacuationKnowledge = field(factory=EvacuationKnowledge)
+    input_age: InputAge = field(factory=InputAge)
 
     def service_of(self, fields: dict[str, Any]) -> str:
         """Returns the service of the agent's target."""
--- a/cumindrift/steering/agent/target.py
+++ b/cumindrift/steering/agent/target.py
@@ -36,6 +36,7 @@
     GONE = 'gone'
     FULL = 'full'
     EVACUATED = 'evacuated'
+    LATE = 'late'
 
 
 @unique
--- a/features/node_agent.feature
+++ b/features/node_agent.feature
@@ -121,6 +121,23 @@
     And data of the flow arrives
     Then the target got 1 packet
 
+  # Guards against SYNs that are delivered seconds after they were sent, to a
+  # target that was evacuated or drained meanwhile.
+  Scenario: A SYN that waited while the agent was suspended goes back to its balancer
+    Given an agent whose target serves
+    When the agent is suspended for 5 s, and a SYN waits for it
+    Then the target got 0 packets
+    And the balancer gets the report REFUSED with the SYN
+    When all input has been read
+    And a SYN arrives
+    Then the target got 1 packet, unchanged
+
+  Scenario: A SYN that the target left unanswered while the agent was suspended goes back
+    Given an agent whose target serves
+    When a SYN arrives
+    And the agent is suspended for 5 s
+    Then the balancer gets the report REFUSED with the SYN
+
   Scenario: An unanswered SYN is forwarded, and the target is checked
     Given an agent whose target serves
     When a SYN arrives
--- a/features/steps/node_agent_steps.py
+++ b/features/steps/node_agent_steps.py
@@ -8,6 +8,7 @@
 from cumindrift.fleet.recorder import decode_record
 from cumindrift.outcome import Refused
 from cumindrift.platform.packet import build_reset, read_from_client
+from cumindrift.steering.agent.input_age import InputAge
 from cumindrift.steering.frame import FrameKind
 from features.builders.core import AgentBench, logged_lines
 from features.builders.node import (
@@ -241,6 +242,28 @@
     assert line['reason'] == reason, line
 
 
+@when('the agent is suspended for {seconds:g} s, and a SYN waits for it')
+def step_suspended(context, seconds):
+    bench = context.bench
+    bench.core.state.input_age = InputAge(lambda: bench.now_s)
+    bench.now_s += seconds
+    bench.send_heartbeat(sequence=7)
+    context.octets = client_packet(SYN)
+    bench.receive(opening())
+
+
+@when('the agent is suspended for {seconds:g} s')
+def step_suspended_after(context, seconds):
+    context.bench.now_s += seconds
+    context.bench.core.tick(context.bench.now_s)
+
+
+@when('all input has been read')
+def step_all_read(context):
+    context.bench.core.tick(context.bench.now_s)
+    context.bench.output.clear()
+
+
 @then('its last report names a change of the evacuations as of {as_of:d}')
 def step_reports_change(context, as_of):
     _, report = context.bench.output.reports[-1]
