--- a/features/node_agent.feature
+++ b/features/node_agent.feature
@@ -80,47 +80,6 @@
     Then the target got 0 packets
     And the SYN goes to 10.1.0.14 with 1 candidate left
 
-  Scenario: An agent reports the newest change of the evacuations it has heard of
-    Given an agent whose target serves
-    When a frame names the evacuations as of 30, changed as of 27
-    And a frame names the evacuations as of 12, changed as of 12
-    And a frame names the evacuations as of 40, changed as of 9
-    Then its last report names a change of the evacuations as of 27
-
-  # Guards against new flows to an evacuated data centre from a balancer that
-  # sends by an outdated copy, or was suspended while it sent.
-  Scenario: An agent whose data centre is evacuated passes on what an outdated balancer sends
-    Given an agent whose target serves
-    When a balancer's frame says that its data centre is evacuated, as of 30
-    And a SYN arrives that was placed by the evacuations as of 12
-    Then the target got 0 packets
-    And the SYN goes to 10.1.0.14 with 1 candidate left
-    And the log line open-passed has the reason evacuated
-
-  Scenario Outline: An agent takes new flows from whoever may know that an evacuation is over
-    Given an agent whose target serves
-    When a balancer's frame says that its data centre is evacuated, as of 30
-    And <what>
-    Then the target got 1 packet, unchanged
-
-    Examples:
-      | what                                                       |
-      | a SYN arrives that was placed by the evacuations as of 40  |
-      | a balancer with a copy as of 50 sends a SYN                |
-
-  Scenario: Frames that other agents pass on say nothing of its own data centre
-    Given an agent whose target serves
-    When an agent passes on a frame to an evacuated data centre, as of 30
-    And a SYN arrives that was placed by the evacuations as of 12
-    Then the target got 1 packet, unchanged
-
-  Scenario: An agent whose data centre is evacuated keeps its flows
-    Given an agent whose target serves
-    And an open flow
-    When a balancer's frame says that its data centre is evacuated, as of 30
-    And data of the flow arrives
-    Then the target got 1 packet
-
   # Guards against SYNs that are delivered seconds after they were sent, to a
   # target that was evacuated or drained meanwhile.
   Scenario: A SYN that waited while the agent was suspended goes back to its balancer
--- a/features/node_balancer.feature
+++ b/features/node_balancer.feature
@@ -26,17 +26,6 @@
     Then the frames sent are OPEN
     And the frame goes to agent 2
 
-  # Guards against new flows to an evacuated data centre from a client port that
-  # was used before.
-  Scenario: A SYN of a flow that was opened long ago is placed anew
-    Given a balancer that knows 3 agents
-    And a flow that agent 2 holds
-    When 2 s go by
-    And data centres zone-2 and zone-3 are evacuated
-    And the client sends a SYN
-    Then the frames sent are OPEN
-    And the frame goes to agent 1
-
   Scenario: An unanswered SYN marks its agent as silent and goes to another agent
     Given a balancer that knows 3 agents
     When the client sends a SYN
@@ -80,32 +69,6 @@
     When the client sends a SYN
     Then nothing is sent and nothing is reset
 
-  Scenario: An evacuated data centre gets no new flows
-    Given a balancer that knows 3 agents
-    And data centres zone-1 and zone-3 are evacuated
-    When the client sends a SYN
-    Then the frame goes to agent 2
-    And the first frame names 0 candidates and the service's digest
-
-  # Guards against new flows to an evacuated data centre from a balancer that
-  # has read the manifest and the agents, but not yet the evacuations.
-  Scenario: A SYN waits until the evacuations have been read
-    Given a balancer that has not read the evacuations
-    When the client sends a SYN
-    And 0.5 s go by
-    Then nothing is sent and nothing is reset
-    When data centres zone-1 and zone-3 are evacuated
-    And 0.15 s go by
-    Then the frame goes to agent 2
-
-  Scenario: Without the evacuations a SYN is given up in silence
-    Given a balancer that has not read the evacuations
-    When the client sends a SYN
-    And 1.2 s go by
-    And data centres zone-1 and zone-3 are evacuated
-    And 0.5 s go by
-    Then nothing is sent and nothing is reset
-
   Scenario: An answer that waits in the socket does not count as missing
     Given a balancer that knows 3 agents
     When the client sends a SYN
@@ -183,52 +146,3 @@
     Given a balancer that knows 3 agents
     When agent 1 reports manifest 9
     Then the manifest is requested
-
-  # Guards against new flows to an evacuated data centre from a balancer whose
-  # own watch tells it nothing, while others know.
-  Scenario: A report of a newer evacuation makes the balancer read them again
-    Given a balancer that knows 3 agents
-    And its evacuations are as of 27, confirmed 4 s ago
-    When agent 1 reports that the evacuations changed as of 30
-    And 0.3 s go by
-    Then the evacuations are not requested
-    When 0.3 s go by
-    Then the evacuations are requested
-
-  Scenario: A balancer that reads a change by itself in time requests nothing
-    Given a balancer that knows 3 agents
-    And its evacuations are as of 27, confirmed 4 s ago
-    When agent 1 reports that the evacuations changed as of 30
-    And 0.3 s go by
-    And it reads the evacuations as of 30
-    And 1 s go by
-    Then the evacuations are not requested
-
-  Scenario: Every frame names the balancer's copy of the evacuations
-    Given a balancer that knows 3 agents
-    And its evacuations are as of 27, confirmed 4 s ago
-    And a flow that agent 2 holds
-    When the client sends data
-    And the client sends a SYN from another port
-    Then each frame sent names the evacuations as of 27
-
-  Scenario: A balancer tells an agent that its data centre is evacuated
-    Given a balancer that knows 3 agents
-    And a flow that agent 2 holds
-    And data centres zone-2 and zone-3 are evacuated
-    When the client sends data
-    Then the frame goes to agent 2
-    And the frame says that the agent is in an evacuated data centre
-
-  Scenario: A balancer tells agents of a change of the evacuations at once
-    Given a balancer that knows 3 agents
-    And its evacuations are as of 27, confirmed 4 s ago
-    When 0.02 s go by
-    Then 3 PING frames were sent
-    And each frame sent names the evacuations as of 27
-
-  Scenario: The log names the copy of the evacuations that a SYN was placed by
-    Given a balancer that knows 3 agents
-    And its evacuations are as of 27, confirmed 4 s ago
-    When the client sends a SYN
-    Then the log line open-sent has evacuations 27 and evacuations_age_s 4.0
--- a/features/steps/node_agent_steps.py
+++ b/features/steps/node_agent_steps.py
@@ -4,13 +4,12 @@
 
 from behave import given, then, when
 
-from cumindrift.fleet.copy_version import CopyStamp
 from cumindrift.fleet.recorder import decode_record
 from cumindrift.outcome import Refused
 from cumindrift.platform.packet import build_reset, read_from_client
 from cumindrift.steering.agent.input_age import InputAge
 from cumindrift.steering.frame import FrameKind
-from features.builders.core import AgentBench, logged_lines
+from features.builders.core import AgentBench
 from features.builders.node import (
     ACK,
     BALANCER_IP,
@@ -189,59 +188,6 @@
     context.bench.core.on_deregistered('i-1')
 
 
-@when(
-    'a frame names the evacuations as of {as_of:d}, '
-    'changed as of {changed_as_of:d}'
-)
-def step_stamped(context, as_of, changed_as_of):
-    stamp = CopyStamp(as_of, changed_as_of)
-    context.bench.receive(forwarded(b'', FrameKind.PING, evacuations=stamp))
-
-
-@when(
-    "a balancer's frame says that its data centre is evacuated, as of {as_of:d}"
-)
-def step_hears_evacuated(context, as_of):
-    send_evacuated(context, as_of, BALANCER_IP)
-
-
-@when('an agent passes on a frame to an evacuated data centre, as of {as_of:d}')
-def step_passes_on_evacuated(context, as_of):
-    send_evacuated(context, as_of, '10.1.0.77')
-
-
-def send_evacuated(context, as_of, sender_ip):
-    """Delivers a ping whose receiver is in an evacuated data centre."""
-    ping = forwarded(
-        b'',
-        FrameKind.PING,
-        evacuations=CopyStamp(as_of, as_of),
-        is_evacuated=True,
-        sender_ip=sender_ip,
-    )
-    context.bench.receive(ping)
-    context.bench.output.clear()
-
-
-@when('a SYN arrives that was placed by the evacuations as of {as_of:d}')
-def step_stamped_syn(context, as_of):
-    context.octets = client_packet(SYN)
-    stamp = CopyStamp(as_of, as_of)
-    context.bench.receive(opening(evacuations=stamp, sender_ip='10.1.0.77'))
-
-
-@when('a balancer with a copy as of {as_of:d} sends a SYN')
-def step_newer_syn(context, as_of):
-    context.octets = client_packet(SYN)
-    context.bench.receive(opening(evacuations=CopyStamp(as_of, as_of)))
-
-
-@then('the log line {event} has the reason {reason}')
-def step_reason(context, event, reason):
-    line = logged_lines(context.bench.events, event)[-1]
-    assert line['reason'] == reason, line
-
-
 @when('the agent is suspended for {seconds:g} s, and a SYN waits for it')
 def step_suspended(context, seconds):
     bench = context.bench
@@ -264,12 +210,6 @@
     context.bench.output.clear()
 
 
-@then('its last report names a change of the evacuations as of {as_of:d}')
-def step_reports_change(context, as_of):
-    _, report = context.bench.output.reports[-1]
-    assert report.evacuations_changed_as_of == as_of
-
-
 @when('{seconds:g} s go by')
 def step_pass(context, seconds):
     context.bench.pass_time(seconds)
--- a/features/steps/node_balancer_steps.py
+++ b/features/steps/node_balancer_steps.py
@@ -7,7 +7,7 @@
 from cumindrift.port import DRAIN_MAX
 from cumindrift.steering.frame import FrameKind, Load, service_digest
 from cumindrift.steering.role import drain_and_tick
-from features.builders.core import BalancerBench, InputPort, logged_lines
+from features.builders.core import BalancerBench, InputPort
 from features.builders.node import (
     ACK,
     SERVICE,
@@ -46,61 +46,6 @@
     context.bench.open_flow(number)
 
 
-@given('a balancer that has not read the evacuations')
-def step_no_evacuations(context):
-    context.bench = BalancerBench()
-    context.bench.directory.has_evacuations = False
-
-
-@given('data centres {first} and {second} are evacuated')
-@when('data centres {first} and {second} are evacuated')
-def step_evacuated(context, first, second):
-    context.bench.directory.apply_evacuations(frozenset((first, second)))
-
-
-@given('its evacuations are as of {as_of:d}, confirmed {age_s:g} s ago')
-def step_evacuations_version(context, as_of, age_s):
-    bench = context.bench
-    version = bench.directory.evacuations_version
-    version.confirm(as_of, as_of, bench.now_s - age_s)
-
-
-@when('it reads the evacuations as of {as_of:d}')
-def step_reads_evacuations(context, as_of):
-    bench = context.bench
-    bench.directory.evacuations_version.confirm(as_of, as_of, bench.now_s)
-
-
-@when('agent {number:d} reports that the evacuations changed as of {as_of:d}')
-def step_evacuation_news(context, number, as_of):
-    context.bench.report(
-        number, FrameKind.PONG, evacuations_changed_as_of=as_of
-    )
-
-
-@then('the evacuations are not requested')
-def step_no_evacuations_requested(context):
-    assert not context.bench.output.evacuation_lists
-
-
-@then('the evacuations are requested')
-def step_evacuations_requested(context):
-    assert context.bench.output.evacuation_lists
-
-
-@then('each frame sent names the evacuations as of {as_of:d}')
-def step_frames_name(context, as_of):
-    found = {
-        message.evacuations.as_of for _, message in context.bench.output.sent
-    }
-    assert found == {as_of}, found
-
-
-@then('the frame says that the agent is in an evacuated data centre')
-def step_says_evacuated(context):
-    assert context.bench.output.sent[-1][1].is_evacuated
-
-
 @given('a manifest that sends the address to another service')
 def step_other_service(context):
     context.bench.put_manifest(4, 'asiakirja')
@@ -339,13 +284,3 @@
 @then('{count:d} or more entries are removed')
 def step_removed(context, count):
     assert len(set(context.bench.output.removed)) >= count
-
-
-@then(
-    'the log line {event} has evacuations {as_of:d} '
-    'and evacuations_age_s {age_s:g}'
-)
-def step_log_line(context, event, as_of, age_s):
-    line = logged_lines(context.bench.events, event)[-1]
-    found = (line['evacuations'], line['evacuations_age_s'])
-    assert found == (as_of, age_s), line
