Wrong news of an evacuation ends by itself

What callers could see: nothing yet. A frame that names a revision which the store does not have, by a fault on the way or of a program, would make every balancer ask without end, and keep an agent's data centre out until the agent restarts. Cause: news was compared with the copy only, and kept by agents for good. Change: a list that was requested after the news has every change, so it ends the search; an agent gives up what no balancer has confirmed for a minute. Both scenarios fail before.

--- a/cumindrift/fleet/balancer_store.py
+++ b/cumindrift/fleet/balancer_store.py
@@ -59,7 +59,8 @@
 def request_full_list(context: NodeContext, kind: str) -> None:
     """Lists a kind again instead of watching, at most once per period."""
     watcher = context.watchers[kind]
-    is_recent = context.clock() - watcher.listed_s < FULL_LIST_PERIOD_S
+    listed_ago_s = context.clock() - watcher.version.listed_s
+    is_recent = listed_ago_s < FULL_LIST_PERIOD_S
     if is_recent or not watcher.is_watching or context.link is None:
         return
     context.link.cancel_call(watcher)
--- a/cumindrift/fleet/context.py
+++ b/cumindrift/fleet/context.py
@@ -8,7 +8,6 @@
 from attrs import define, field
 
 from cumindrift.event import EventLog
-from cumindrift.fleet.copy_version import NOT_READ
 from cumindrift.fleet.link import CallSource, StoreHealth, StoreLink
 from cumindrift.fleet.settings import NodeSettings
 from cumindrift.port import DatagramPort
@@ -56,8 +55,6 @@
     reported_ready: bool = False
     # The newest manifest version that a peer is known to use.
     peer_manifest_version: int = 0
-    # A revision up to which the evacuations are known to a peer.
-    peer_evacuations_as_of: int = NOT_READ
     # Passes changed settings to the core.
     on_settings: Callable[[NodeSettings], None] = lambda _settings: None
     # Starts the work that has to be done before the process ends.
@@ -86,7 +83,7 @@
         directory = self.directory
         if not self.watchers:
             return False
-        if self.peer_evacuations_as_of > directory.evacuations_version.as_of:
+        if directory.has_outdated_evacuations:
             return True
         is_behind = self.peer_manifest_version > directory.manifest.version
         is_missing = is_behind or not directory.is_complete
--- a/cumindrift/fleet/copy_version.py
+++ b/cumindrift/fleet/copy_version.py
@@ -30,12 +30,16 @@
 class CopyVersion:
     """The version of a node's own copy; its watcher updates it.
 
-    `confirmed_s` is when the store or a peer last confirmed the copy, on the
-    node's steady clock.
+    Attributes:
+        stamp: The version itself.
+        confirmed_s: When the store or a peer last confirmed the copy, on the
+            node's steady clock.
+        listed_s: When the latest complete list was requested.
     """
 
     stamp: CopyStamp = NO_COPY
     confirmed_s: float = 0.0
+    listed_s: float = 0.0
 
     @property
     def as_of(self) -> int:
--- a/cumindrift/fleet/directory.py
+++ b/cumindrift/fleet/directory.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field
 
-from cumindrift.fleet.copy_version import CopyVersion
+from cumindrift.fleet.copy_version import NOT_READ, CopyVersion
 from cumindrift.fleet.manifest import Manifest
 from cumindrift.fleet.ring import KeeperRing
 
@@ -34,6 +34,9 @@
     agents: dict[str, AgentEntry] = field(factory=dict)
     evacuated: frozenset[str] = frozenset()
     evacuations_version: CopyVersion = field(factory=CopyVersion)
+    # The revision up to which other balancers know the evacuations, while this
+    # one is behind them.
+    expected_evacuations_as_of: int = NOT_READ
     has_agents: bool = False
     has_evacuations: bool = False
     # The addresses of the agents in evacuated data centres.
@@ -50,6 +53,12 @@
             and self.has_evacuations
         )
 
+    @property
+    def has_outdated_evacuations(self) -> bool:
+        """Tells whether other balancers know of a change that is missing."""
+        known_as_of = self.evacuations_version.as_of
+        return self.expected_evacuations_as_of > known_as_of
+
     def apply_manifest(self, manifest: Manifest, revision: int) -> bool:
         """Applies a manifest unless its revision is not newer."""
         if revision <= self.manifest_revision:
--- a/cumindrift/fleet/watcher.py
+++ b/cumindrift/fleet/watcher.py
@@ -65,8 +65,6 @@
     objects: Objects = field(factory=dict)
     version: CopyVersion = field(factory=CopyVersion)
     failure_count: int = 0
-    # When the latest complete list was requested.
-    listed_s: float = 0.0
     on_listed: Callable[[float], None] = lambda _list_started_s: None
     _needs_list: bool = True
     _listing: Listing = field(factory=Listing)
@@ -145,8 +143,8 @@
         if answer.has_more and answer.items:
             return
         self._take(listing.objects, listing.as_of, now_s)
-        self.listed_s = listing.started_s
-        self.on_listed(self.listed_s)
+        self.version.listed_s = listing.started_s
+        self.on_listed(listing.started_s)
 
     def _apply_events(self, answer: StoreAnswer, now_s: float) -> None:
         objects = dict(self.objects)
--- a/cumindrift/steering/agent/core.py
+++ b/cumindrift/steering/agent/core.py
@@ -60,7 +60,7 @@
         """Handles a client's packet from a balancer or another agent."""
         state = self.state
         self._last_frame_s = now_s
-        if state.evacuation.learn(forwarded):
+        if state.evacuation.learn(forwarded, now_s):
             state.log_evacuation(forwarded.origin_ip)
         if forwarded.kind is FrameKind.PING:
             state.send_report(forwarded.origin_ip, FrameKind.PONG)
--- a/cumindrift/steering/balancer/port.py
+++ b/cumindrift/steering/balancer/port.py
@@ -36,19 +36,9 @@
         )
         request_full_list(self._context, MANIFEST_KIND)
 
-    def request_evacuations(self, revision: int) -> None:
-        """Requests the evacuations; agents have heard of a newer change."""
-        context = self._context
-        if revision > context.peer_evacuations_as_of:
-            context.peer_evacuations_as_of = revision
-            version = context.directory.evacuations_version
-            context.events.note_urgently(
-                'evacuations-outdated',
-                evacuations=version.as_of,
-                evacuations_age_s=version.age_s(context.clock()),
-                expected_revision=revision,
-            )
-        request_full_list(context, EVACUATION_KIND)
+    def request_evacuations(self) -> None:
+        """Requests the current evacuations from the store."""
+        request_full_list(self._context, EVACUATION_KIND)
 
     def _on_frame(
         self,
--- a/cumindrift/steering/output.py
+++ b/cumindrift/steering/output.py
@@ -47,8 +47,8 @@
     def request_agents(self) -> None:
         """Requests the current list of agents from the store."""
 
-    def request_evacuations(self, revision: int) -> None:
-        """Requests the evacuations as of `revision` or later."""
+    def request_evacuations(self) -> None:
+        """Requests the current evacuations from the store."""
 
     def request_manifest(self, version: int) -> None:
         """Requests the manifest; an agent reported that `version` exists."""
--- a/features/builders/core.py
+++ b/features/builders/core.py
@@ -103,7 +103,7 @@
         """Counts the requests for the manifest."""
         self.manifests += 1
 
-    def request_evacuations(self, _revision: int) -> None:
+    def request_evacuations(self) -> None:
         """Counts the requests for the evacuations."""
         self.evacuation_lists += 1
 
--- a/features/node_evacuation.feature
+++ b/features/node_evacuation.feature
@@ -57,6 +57,18 @@
     And 1 s go by
     Then the evacuations are not requested
 
+  # Guards against endless requests by a report that names a revision which the
+  # store does not have.
+  Scenario: A list that was requested after the news ends the search for it
+    Given a balancer that knows 3 agents
+    And its evacuations are as of 27, confirmed 4 s ago
+    When agent 1 reports that the evacuations changed as of 99
+    And 0.7 s go by
+    Then the evacuations are requested
+    When the list that it requested arrives, as of 31
+    And 5 s go by
+    Then the evacuations are requested no more
+
   Scenario: Every frame names the balancer's copy of the evacuations
     Given a balancer that knows 3 agents
     And its evacuations are as of 27, confirmed 4 s ago
@@ -126,3 +138,11 @@
     When a balancer's frame says that its data centre is evacuated, as of 30
     And data of the flow arrives
     Then the target got 1 packet
+
+  Scenario: What no balancer confirms for a minute is given up
+    Given an agent whose target serves
+    When a balancer's frame says that its data centre is evacuated, as of 30
+    And 61 s go by
+    And its target sends a heartbeat
+    And a balancer with a copy as of 12 sends a SYN
+    Then the target got 1 packet, unchanged
--- a/features/steps/node_evacuation_steps.py
+++ b/features/steps/node_evacuation_steps.py
@@ -2,7 +2,7 @@
 
 from behave import given, then, when
 
-from cumindrift.fleet.copy_version import CopyStamp
+from cumindrift.fleet.copy_version import NOT_READ, CopyStamp
 from cumindrift.steering.frame import FrameKind
 from features.builders.core import BalancerBench, logged_lines
 from features.builders.node import (
@@ -136,3 +136,24 @@
 def step_reports_change(context, as_of):
     _, report = context.bench.output.reports[-1]
     assert report.evacuations_changed_as_of == as_of
+
+
+@when('the list that it requested arrives, as of {as_of:d}')
+def step_list_arrives(context, as_of):
+    bench = context.bench
+    version = bench.directory.evacuations_version
+    version.confirm(as_of, NOT_READ, bench.now_s)
+    version.listed_s = bench.now_s
+    bench.pass_time(0.02)
+    bench.output.evacuation_lists = 0
+
+
+@then('the evacuations are requested no more')
+def step_requested_no_more(context):
+    assert not context.bench.output.evacuation_lists
+    assert not context.bench.directory.has_outdated_evacuations
+
+
+@when('its target sends a heartbeat')
+def step_heartbeat_now(context):
+    context.bench.send_heartbeat(sequence=9)
--- a/features/steps/node_store_steps.py
+++ b/features/steps/node_store_steps.py
@@ -331,7 +331,7 @@
 
 @when('the second hears that the evacuations changed as of {as_of:d}')
 def step_hears(context, as_of):
-    context.node.peer_evacuations_as_of = as_of
+    context.node.directory.expected_evacuations_as_of = as_of
 
 
 @then('{name} is evacuated at the second')
