Only a list of agents proves that a flow has no holder

What callers could see: a reset of a flow that is held by an agent which has just registered. Cause: the list of any kind counted as the list of agents, so a list of manifests or evacuations that was requested after a packet decided by an older list of agents. Change: only the watcher of agents tells the locator. The scenario fails before for config and evacuations.

--- a/cumindrift/steering/balancer/supervisor.py
+++ b/cumindrift/steering/balancer/supervisor.py
@@ -5,6 +5,7 @@
 from cumindrift.administration.http import HttpServer
 from cumindrift.fleet.balancer_store import watch_store
 from cumindrift.fleet.context import NodeContext
+from cumindrift.fleet.kind import AGENT_KIND
 from cumindrift.platform.packet import (
     format_flow_key,
     read_from_client,
@@ -40,8 +41,8 @@
         context.random,
     )
     context.core = core
-    for watcher in context.watchers.values():
-        watcher.on_listed = core.locator.on_agents_listed
+    agents = context.watchers[AGENT_KIND]
+    agents.on_listed = core.locator.on_agents_listed
     context.may_exit = _after_routers(context)
 
     def build() -> Supervisor:
--- a/features/node_store.feature
+++ b/features/node_store.feature
@@ -139,3 +139,16 @@
     When the watch ends with the result history gone
     And a peer offers a copy with a, as of 39
     Then the objects are a, b
+
+  # Guards against a reset of a flow that an agent holds which this balancer does
+  # not know yet: only a list of agents shows which ones exist.
+  Scenario Outline: Only a list of agents proves that a flow has no holder
+    Given a balancer that waits for the list of agents to prove a flow lost
+    When a list of <kind> arrives
+    Then the flow is <outcome>
+
+    Examples:
+      | kind              | outcome         |
+      | config            | not decided yet |
+      | evacuations       | not decided yet |
+      | cumindrift-agents | decided         |
--- a/features/steps/node_store_steps.py
+++ b/features/steps/node_store_steps.py
@@ -25,6 +25,11 @@
 )
 from cumindrift.fleet.watcher import KindWatcher
 from cumindrift.platform.documents import EVACUATION_KIND, MANIFEST_KIND
+from cumindrift.platform.packet import read_from_client
+from cumindrift.steering.balancer.search import Search
+from cumindrift.steering.balancer.supervisor import prepare_balancer
+from features.builders.core import RecordingOutput
+from features.builders.node import ACK, client_packet
 from features.builders.node_store import (
     BATCH_DELAY_S,
     ENTRY,
@@ -376,3 +381,26 @@
 @then('nothing is adopted')
 def step_nothing_adopted(context):
     assert not context.adopted
+
+
+@given('a balancer that waits for the list of agents to prove a flow lost')
+def step_unverified(context):
+    node = context.node = make_context()
+    prepare_balancer(node)
+    node.core.state.output = RecordingOutput()
+    packet = read_from_client(client_packet(ACK))
+    search = Search(packet, 0.0, frozenset(), iter(()))
+    node.core.locator.unverified[packet.flow_key] = search
+
+
+@when('a list of {kind} arrives')
+def step_list_of(context, kind):
+    watcher = context.node.watchers[kind]
+    watcher.next_call(10.0)
+    watcher.on_answer(StoreAnswer(AnswerTag.DONE, as_of=9), 10.0)
+
+
+@then('the flow is {outcome}')
+def step_outcome(context, outcome):
+    is_decided = not context.node.core.locator.unverified
+    assert is_decided == (outcome == 'decided')
