A late copy of the SYN of an open flow does not end the flow

What callers could see: a flow that its target holds is lost, when a copy of its SYN arrives later than 1.4 s after the first (a delayed packet, or an agent that was suspended between the two). Cause: "A SYN of a flow key that was opened long ago is a new flow" replaced the agent's record of the flow by an unanswered one, so the target's bounce of the copy removed it. Change: such a SYN passes every reason to refuse, as a new one does, and is then delivered beside the record that is there, which stays. Only a closed flow, or one whose target is gone, is replaced. The new scenario fails before: the flow's next data is reported as absent. The scenario of draining now drains after the 2 s, so that the refusal, not the heartbeat's age, is what it shows.

--- a/cumindrift/steering/agent/opener.py
+++ b/cumindrift/steering/agent/opener.py
@@ -38,17 +38,20 @@
         state = self.state
         key = packet.flow_key
         known = state.table.flows.get(key)
-        is_known = known is not None and known.is_of_attempt(now_s)
-        if is_known and not state.target.is_gone:
-            # A retransmitted SYN follows the first.
-            known.origin_ip = forwarded.origin_ip
-            state.output.deliver(packet.octets)
+        if state.target.is_gone or (known is not None and known.is_closed):
+            known = None
+        if known is not None and known.is_of_attempt(now_s):
+            self._deliver_again(forwarded, packet, known)
             return
         refusal = self._refusal(forwarded, now_s)
         if refusal is not None:
             self._forward_or_refuse(forwarded, packet, refusal)
             return
         state.target.count_open(now_s)
+        if known is not None:
+            # It may as well be a late copy of an open flow, which stays.
+            self._deliver_again(forwarded, packet, known)
+            return
         flow = Flow(
             forwarded.origin_ip,
             now_s,
@@ -97,6 +100,13 @@
             self.on_not_opened(flow, flow.client_packet, reason)
         return False
 
+    def _deliver_again(
+        self, forwarded: ForwardedPacket, packet: FlowPacket, known: Flow
+    ) -> None:
+        """Delivers a SYN of a known flow."""
+        known.origin_ip = forwarded.origin_ip
+        self.state.output.deliver(packet.octets)
+
     def _refusal(
         self, forwarded: ForwardedPacket, now_s: float
     ) -> Refusal | None:
--- a/features/node_agent.feature
+++ b/features/node_agent.feature
@@ -74,12 +74,25 @@
   Scenario: A SYN of a flow that was opened long ago is a new flow
     Given an agent whose target serves
     And an open flow
-    When its target starts to drain
-    And 2 s go by
+    When 2 s go by
+    And its target starts to drain
     And a SYN arrives
     Then the target got 0 packets
     And the SYN goes to 10.1.0.14 with 1 candidate left
 
+  # Guards against a flow that is lost because a late copy of its SYN was taken
+  # for a new flow.
+  Scenario: A late copy of the SYN of an open flow does not end the flow
+    Given an agent whose target serves
+    And an open flow
+    When 2 s go by
+    And its target sends a heartbeat
+    And a SYN arrives
+    And the target bounces it
+    And data of the flow arrives
+    Then the target got 2 packets
+    And the balancer gets no report
+
   # Guards against SYNs that are delivered seconds after they were sent, to a
   # target that was evacuated or drained meanwhile.
   Scenario: A SYN that waited while the agent was suspended goes back to its balancer
