--- a/cumindrift/fleet/announcer.py
+++ b/cumindrift/fleet/announcer.py
@@ -5,8 +5,8 @@
 
 from attrs import define
 
+from cumindrift.fleet.backoff import backoff_s
 from cumindrift.fleet.call import AnswerTag, CallVerb, StoreAnswer, StoreCall
-from cumindrift.fleet.watcher import BACKOFF_MAX_S, BACKOFF_MIN_S
 
 
 @define(slots=True, eq=False, repr=False)
@@ -79,11 +79,7 @@
             self.is_written = self._sent == self.desired
         else:
             self.failure_count += 1
-            ceiling_s = min(
-                BACKOFF_MAX_S,
-                BACKOFF_MIN_S * 2 ** min(self.failure_count, 10),
-            )
-            self._due_s = now_s + ceiling_s * (1 + self.random.random()) / 2
+            self._due_s = now_s + backoff_s(self.failure_count, self.random)
 
     def _on_conflict(self, answer: StoreAnswer) -> None:
         """Compares with the stored object, which may need no change."""
--- a/cumindrift/fleet/recorder.py
+++ b/cumindrift/fleet/recorder.py
@@ -9,8 +9,8 @@
 from attrs import define, field
 
 from cumindrift.code import ResultCode
+from cumindrift.fleet.backoff import BACKOFF_MAX_S
 from cumindrift.fleet.call import AnswerTag, CallVerb, StoreAnswer, StoreCall
-from cumindrift.fleet.watcher import BACKOFF_MAX_S
 from cumindrift.outcome import Done, Refused
 
 WRITE_PERIOD_S = 4.0
--- a/cumindrift/fleet/watcher.py
+++ b/cumindrift/fleet/watcher.py
@@ -5,6 +5,7 @@
 
 from attrs import define, field
 
+from cumindrift.fleet.backoff import backoff_s
 from cumindrift.fleet.call import (
     AnswerTag,
     CallVerb,
@@ -17,8 +18,6 @@
 # A watch that has ended is started again, which costs a call, so it waits
 # long. Dead connections are detected by TCP keep-alive instead.
 WATCH_WAIT_S = 25.0
-BACKOFF_MIN_S = 0.1
-BACKOFF_MAX_S = 1.0
 
 Objects = dict[str, StoreItem]
 
@@ -131,11 +130,7 @@
 
     def _fail(self, now_s: float) -> None:
         self.failure_count += 1
-        ceiling_s = min(
-            BACKOFF_MAX_S,
-            BACKOFF_MIN_S * 2 ** min(self.failure_count, 10),
-        )
-        self._due_s = now_s + ceiling_s * (1 + self.random.random()) / 2
+        self._due_s = now_s + backoff_s(self.failure_count, self.random)
 
     def _apply_page(self, answer: StoreAnswer, now_s: float) -> None:
         listing = self._listing
