A balancer checks that its watches are not lost

What callers saw: new flows to a data centre that was being emptied (EVAC), for up to 27 s after the administrator was told that the evacuation is accepted, through machines in touch; by the same cause, packets handled by an old manifest (CONFIG). Cause: a store that is silent takes the connection and the request of a watch, and answers neither then nor later, while the connection stays alive. A list is given up after 2 s. A watch is given up after its longest wait and 2 s more, 27 s, because silence is also what a watch without news looks like, and TCP keep-alive only finds dead connections. All balancers start together and so renew their watches together: one silent spell at that moment leaves none that hears, so the ways by agents and peers have nothing to carry. Class: absence of news taken for news of absence; a belief with a time bound whose age has no bound. Change: a balancer lists the evacuations every third of the shortest time to apply a change, a list that may be stale: a tenth of a call's price, and not counted against the store's rate. It is an ordinary call with a timeout of 2 s. If it shows a change that the copy lacks, the copy takes it, and all watches start again. If it fails, the store is unreachable, and the check goes on until it is back; then all watches start again, since those that came in the silence would wait in vain.

--- a/cumindrift/fleet/balancer_store.py
+++ b/cumindrift/fleet/balancer_store.py
@@ -5,6 +5,7 @@
 
 from cumindrift.code import ResultCode
 from cumindrift.fleet.context import NodeContext
+from cumindrift.fleet.copy_check import CopyCheck
 from cumindrift.fleet.directory import AgentEntry, Directory
 from cumindrift.fleet.kind import AGENT_KIND, RECORD_KIND, log_unreadable
 from cumindrift.fleet.peer_reader import PeerReader
@@ -21,6 +22,8 @@
 
 MANIFEST_BATCH_DELAY_S = 0.3
 AGENT_BATCH_DELAY_S = 0.5
+# The part of the time to apply a change after which the watches are checked.
+CHECK_SHARE = 1 / 3
 # Least time between lists that are requested outside the watch, for example
 # to prove that a flow has no holder.
 FULL_LIST_PERIOD_S = 1.0
@@ -45,9 +48,32 @@
         )
     evacuations = context.watchers[EVACUATION_KIND]
     context.directory.evacuations_version = evacuations.version
+    context.copy_check = CopyCheck(
+        evacuations,
+        partial(check_period_s, context),
+        partial(restart_watches, context),
+        context.random,
+    )
     context.remover = Remover()
 
 
+def check_period_s(context: NodeContext) -> float:
+    """Returns the longest time between two checks of the watches.
+
+    A check, its timeout and the read that follows fit into the shortest time
+    in which a change has to be in force.
+    """
+    bounds = context.settings.bounds
+    shortest_s = min(bounds.manifest_delay_s, bounds.evacuation_delay_s)
+    return shortest_s * CHECK_SHARE
+
+
+def restart_watches(context: NodeContext) -> None:
+    """Starts all watches again, since one of them has missed a change."""
+    if context.link is not None:
+        context.link.restart_watches('change missed')
+
+
 def remove_agent(context: NodeContext, name: str) -> None:
     """Removes the entry and flow record of an agent that has ended."""
     item = context.watchers[AGENT_KIND].objects.get(name)
--- a/cumindrift/fleet/context.py
+++ b/cumindrift/fleet/context.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     # Each role loads only the modules that it uses.
     from cumindrift.fleet.announcer import Announcer
+    from cumindrift.fleet.copy_check import CopyCheck
     from cumindrift.fleet.directory import Directory
     from cumindrift.fleet.recorder import FlowRecorder
     from cumindrift.fleet.remover import Remover
@@ -35,10 +36,11 @@
     started_ms: int = field(factory=lambda: int(time() * _MS_PER_S))
     events: EventLog = field(init=False)
     health: StoreHealth = field(init=False)
-    # A balancer has directory, watchers and remover; an agent has announcer
-    # and recorder.
+    # A balancer has directory, watchers, copy check and remover; an agent has
+    # announcer and recorder.
     directory: 'Directory | None' = None
     watchers: 'dict[str, KindWatcher]' = field(factory=dict)
+    copy_check: 'CopyCheck | None' = None
     remover: 'Remover | None' = None
     announcer: 'Announcer | None' = None
     recorder: 'FlowRecorder | None' = None
@@ -70,7 +72,7 @@
     @property
     def sources(self) -> tuple[CallSource, ...]:
         """Returns everything that makes calls to the store."""
-        own = (self.announcer, self.recorder, self.remover)
+        own = (self.announcer, self.recorder, self.copy_check, self.remover)
         return (*self.watchers.values(), *filter(None, own))
 
     @property
--- a/cumindrift/fleet/link.py
+++ b/cumindrift/fleet/link.py
@@ -115,7 +115,7 @@
         """Ends all calls; their sources repeat them later."""
         for running in list(self.calls.values()):
             running.exchange.abort()
-            self._finish(running, StoreAnswer(AnswerTag.LOST))
+            self.finish(running, StoreAnswer(AnswerTag.LOST))
         self.calls.clear()
 
     @handler('started', channel='*')
@@ -129,6 +129,29 @@
                 self.calls.pop(number)
                 running.exchange.abort()
 
+    def restart_watches(self, reason: str) -> None:
+        """Takes the running watches for lost; their sources start them again.
+
+        `reason` goes to the log.
+        """
+        now_s = self._clock()
+        watches = [
+            (number, running)
+            for number, running in self.calls.items()
+            if running.call.verb is CallVerb.WATCH
+        ]
+        if not watches:
+            return
+        for number, running in watches:
+            self.calls.pop(number)
+            running.exchange.abort()
+            running.source.on_answer(StoreAnswer(AnswerTag.LOST), now_s)
+        self._health.events.note_urgently(
+            'watches-restarted',
+            reason=reason,
+            kinds=[running.call.kind for _number, running in watches],
+        )
+
     def run_due(self) -> None:
         """Ends calls that have timed out and starts those that are due."""
         now_s = self._clock()
@@ -136,7 +159,7 @@
             if now_s >= running.deadline_s:
                 self.calls.pop(number)
                 running.exchange.abort()
-                self._finish(running, StoreAnswer(AnswerTag.LOST))
+                self.finish(running, StoreAnswer(AnswerTag.LOST))
         for source in self.allowed_sources():
             call = source.next_call(now_s)
             if call is None:
@@ -171,7 +194,7 @@
             decoded = StoreAnswer(AnswerTag.LOST)
             if answer is not None:
                 decoded = decode_answer(answer.status, answer.body)
-            self._finish(running, decoded)
+            self.finish(running, decoded)
             self.run_due()
 
         exchange = HttpExchange(
@@ -185,7 +208,15 @@
         exchange.register(self)
         exchange.start()
 
-    def _finish(self, running: RunningCall, answer: StoreAnswer) -> None:
+    def finish(self, running: RunningCall, answer: StoreAnswer) -> None:
+        """Ends a call with its result.
+
+        When the store is back, watches whose requests came while it was silent
+        would wait in vain.
+        """
         now_s = self._clock()
+        was_unreachable = self._health.is_unreachable
         self._health.record_result(answer.tag, running.call, now_s)
         running.source.on_answer(answer, now_s)
+        if was_unreachable and not self._health.is_unreachable:
+            self.restart_watches('store regained')
--- a/cumindrift/fleet/watcher.py
+++ b/cumindrift/fleet/watcher.py
@@ -1,6 +1,6 @@
 """Watches one kind of store objects: lists them, then watches changes."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 
 from attrs import define, field
@@ -40,9 +40,7 @@
         """
         if self.as_of == NOT_READ:
             self.as_of = answer.as_of
-        for item in answer.items:
-            if not item.is_removed:
-                self.objects[item.name] = item
+        self.objects.update(index_by_name(answer.items))
         if answer.items:
             self.after = answer.items[-1].name
 
@@ -111,6 +109,19 @@
         self._take(objects, as_of, now_s)
         return True
 
+    def compare(self, objects: Objects, as_of: int, now_s: float) -> bool:
+        """Compares the copy with a list of the store; adopts a newer one.
+
+        Returns whether the list has a change that the copy lacked.
+        """
+        if as_of < self.version.as_of:
+            return False
+        changed_as_of = revision_of_change(self.objects, objects, as_of)
+        if changed_as_of == NOT_READ:
+            self.version.confirm(as_of, NOT_READ, now_s)
+            return False
+        return self.adopt(objects, as_of, now_s)
+
     def on_answer(self, answer: StoreAnswer, now_s: float) -> None:
         """Handles the result of the last call."""
         self._is_running = False
@@ -169,6 +180,11 @@
         self.on_objects(objects)
 
 
+def index_by_name(items: Iterable[StoreItem]) -> Objects:
+    """Returns the objects of a list by name, without those being removed."""
+    return {item.name: item for item in items if not item.is_removed}
+
+
 def revision_of_change(known: Objects, objects: Objects, as_of: int) -> int:
     """Returns a revision that includes all changes between two copies.
 
--- a/features/builders/node_store.py
+++ b/features/builders/node_store.py
@@ -1,14 +1,18 @@
 """Builders for the parts of a node that use the platform's store."""
 
+from collections.abc import Callable
 from random import Random
 from typing import Any
 
 from attrs import define, field
 
+from cumindrift.address import Endpoint
 from cumindrift.fleet.announcer import Announcer
+from cumindrift.fleet.balancer_store import watch_store
 from cumindrift.fleet.call import AnswerTag, StoreAnswer, StoreCall, StoreItem
 from cumindrift.fleet.context import NodeContext
 from cumindrift.fleet.directory import Directory
+from cumindrift.fleet.link import CallSource, RunningCall, StoreLink
 from cumindrift.fleet.watcher import KindWatcher
 from cumindrift.platform.node_file import read_node_file
 from features.builders.node import node_file
@@ -87,12 +91,71 @@
     return announcer
 
 
-def make_context() -> NodeContext:
-    """Returns the context of a node with a fixed clock."""
+def make_context(clock: Callable[[], float] = lambda: 10.0) -> NodeContext:
+    """Returns the context of a node; its clock stands still by default."""
     start = read_node_file(node_file()).content
     return NodeContext(
         start.settings,
         start.is_first,
-        clock=lambda: 10.0,
+        clock=clock,
         directory=Directory(),
     )
+
+
+class SilentExchange:
+    """An exchange whose server never responds."""
+
+    def abort(self) -> None:
+        """Ends the exchange."""
+
+
+@define(slots=True, eq=False)
+class LinkBench:
+    """A balancer's store link with a test clock, whose calls go nowhere.
+
+    Tests start calls with `start_due` and end them with `end_call`.
+    """
+
+    now_s: float = 50.0
+    node: NodeContext = field(init=False)
+    link: StoreLink = field(init=False)
+    _serial: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Builds the balancer."""
+        self.node = make_context(lambda: self.now_s)
+        watch_store(self.node)
+        self.link = StoreLink(
+            Endpoint('127.0.0.1', 9),
+            self.node.sources,
+            self.node.health,
+            self.node.clock,
+        )
+        self.node.link = self.link
+
+    def start_due(self, source: CallSource) -> StoreCall | None:
+        """Starts the call of a source, if one is due."""
+        call = source.next_call(self.now_s)
+        if call is not None:
+            self._serial += 1
+            self.link.calls[self._serial] = RunningCall(
+                source, call, SilentExchange(), deadline_s=1000.0
+            )
+        return call
+
+    def call_of(self, source: CallSource) -> StoreCall | None:
+        """Returns the running call of a source, if any."""
+        for running in self.link.calls.values():
+            if running.source is source:
+                return running.call
+        return None
+
+    def end_call(
+        self, source: CallSource, tag: AnswerTag, *items: StoreItem, as_of: int
+    ) -> None:
+        """Ends the running call of a source with a result."""
+        for number, running in list(self.link.calls.items()):
+            if running.source is source:
+                self.link.calls.pop(number)
+                answer = StoreAnswer(tag, items, as_of)
+                self.link.finish(running, answer)
--- a/features/builders/store_history.py
+++ b/features/builders/store_history.py
@@ -18,7 +18,8 @@
 STEPS_PER_RUN = 300
 # Longer than the pause of a watcher after a failure and after a change.
 STEP_S = 1.0
-# How many revisions a peer's copy may be behind the store.
+# How many revisions a peer's copy, or a list that may be stale, may be behind
+# the store.
 PEER_LAG_MAX = 6
 
 
@@ -94,6 +95,7 @@
             self._execute: 3,
             self._deliver: 2,
             self._adopt: 2,
+            self._compare: 2,
             self._list_again: 1,
             self._lose: 1,
         }
@@ -149,11 +151,21 @@
             self.watcher.on_answer(StoreAnswer(tag), self.now_s)
 
     def _adopt(self) -> None:
-        lag = self.random.randrange(PEER_LAG_MAX)
-        as_of = max(self.store.revision - lag, 0)
+        as_of = self._late_revision()
         objects = self.store.objects_at(as_of)
         self.watcher.adopt(objects, as_of, self.now_s)
 
+    def _compare(self) -> None:
+        if self.watcher.is_watching:
+            as_of = self._late_revision()
+            objects = self.store.objects_at(as_of)
+            self.watcher.compare(objects, as_of, self.now_s)
+
+    def _late_revision(self) -> int:
+        """Returns a revision that is at most PEER_LAG_MAX behind the store."""
+        lag = self.random.randrange(PEER_LAG_MAX)
+        return max(self.store.revision - lag, 0)
+
     def _list_again(self) -> None:
         if self.watcher.is_watching:
             self._call = self._answer = None
--- /dev/null
+++ b/features/node_copy_check.feature
@@ -0,0 +1,66 @@
+Feature: A balancer notices that a watch has been lost
+
+  A store that is silent may take the request of a watch and never answer it, on
+  a connection that stays alive.
+
+  # Guards against changes that a balancer misses for as long as a watch waits,
+  # as in the incident of new flows to an evacuated data centre.
+  Scenario: A check notices that a watch has missed a change
+    Given a balancer that watches the evacuations, as of 40
+    When 1 s goes by without a response to the watch
+    Then it checks the evacuations by a list that may be stale
+    When the check finds that hel-a is evacuated, as of 43
+    Then the balancer takes hel-a for evacuated
+    And its watch of the evacuations starts again from 43
+    And it logs that watches were restarted, change missed
+
+  Scenario Outline: A check that finds nothing newer changes nothing
+    Given a balancer that watches the evacuations, as of 40
+    When 1 s goes by without a response to the watch
+    And it checks the evacuations
+    And the check finds <what>, as of <as_of>
+    Then the balancer takes no data centre for evacuated
+    And its watch of the evacuations goes on
+    And its copy of the evacuations is as of <copy_as_of>
+
+    Examples:
+      | what                    | as_of | copy_as_of |
+      | no evacuation           | 47    | 47         |
+      | that hel-a is evacuated | 39    | 40         |
+
+  Scenario: After a failure a check asks for a list that is not stale
+    Given a balancer that watches the evacuations, as of 40
+    When 1 s goes by without a response to the watch
+    And it checks the evacuations
+    And the check is lost
+    And 0.3 s goes by without a response to the watch
+    Then it checks the evacuations by a list that is not stale
+
+  Scenario: Nothing is checked while the evacuations are listed
+    Given a balancer that lists the evacuations
+    When 5 s goes by without a response to the watch
+    Then it checks nothing
+
+  Scenario Outline: The shortest time to apply a change sets the time between checks
+    Given a node file in which the bound <name> is <milliseconds>
+    Then a balancer checks its watches every <seconds> s at the latest
+
+    Examples:
+      | name            | milliseconds | seconds |
+      | evacuate_ms     | 5000         | 1       |
+      | evacuate_ms     | 1500         | 0.5     |
+      | config_apply_ms | 14000        | 1.667   |
+
+  # Guards against watches that wait in vain after an outage, with a store that is
+  # taken for unreachable although it is back.
+  Scenario: The end of an outage restarts the watches that ran during it
+    Given a balancer that watches the evacuations, as of 40
+    When 1 s goes by without a response to the watch
+    And it checks the evacuations
+    And the check is lost
+    Then its watch of the evacuations goes on
+    When 0.3 s goes by without a response to the watch
+    And it checks the evacuations
+    And the check finds no evacuation, as of 40
+    Then its watch of the evacuations starts again from 40
+    And it logs that watches were restarted, store regained
--- /dev/null
+++ b/features/steps/node_copy_check_steps.py
@@ -0,0 +1,110 @@
+"""Steps of node_copy_check.feature."""
+
+from behave import given, then, when
+
+from cumindrift.fleet.balancer_store import check_period_s
+from cumindrift.fleet.call import AnswerTag, CallVerb, StoreItem
+from cumindrift.platform.documents import EVACUATION_KIND
+from cumindrift.platform.node_file import read_node_file
+from features.builders.core import logged_lines
+from features.builders.node import node_file
+from features.builders.node_store import LinkBench, make_context
+
+
+@given('a balancer that lists the evacuations')
+def step_lists(context):
+    context.bench = LinkBench()
+    context.watcher = context.bench.node.watchers[EVACUATION_KIND]
+    context.check = context.bench.node.copy_check
+    context.bench.start_due(context.watcher)
+
+
+@given('a balancer that watches the evacuations, as of {as_of:d}')
+def step_watches(context, as_of):
+    step_lists(context)
+    context.bench.end_call(context.watcher, AnswerTag.DONE, as_of=as_of)
+    context.bench.start_due(context.watcher)
+
+
+@when('{seconds:g} s goes by without a response to the watch')
+def step_time(context, seconds):
+    context.bench.now_s += seconds
+
+
+@when('it checks the evacuations')
+def step_checks(context):
+    assert context.bench.start_due(context.check) is not None
+
+
+@then('it checks nothing')
+def step_checks_nothing(context):
+    assert context.bench.start_due(context.check) is None
+
+
+@then('it checks the evacuations by a list that {what} stale')
+def step_checks_by(context, what):
+    call = context.bench.start_due(context.check)
+    assert (call.verb, call.kind) == (CallVerb.LIST, EVACUATION_KIND), call
+    assert call.may_be_stale == (what == 'may be'), call
+
+
+@when('the check is lost')
+def step_lost(context):
+    context.bench.end_call(context.check, AnswerTag.LOST, as_of=0)
+
+
+@when('the check finds no evacuation, as of {as_of:d}')
+def step_finds_none(context, as_of):
+    context.bench.end_call(context.check, AnswerTag.DONE, as_of=as_of)
+
+
+@when('the check finds that {name} is evacuated, as of {as_of:d}')
+def step_finds(context, name, as_of):
+    item = StoreItem(name, as_of, {})
+    context.bench.end_call(context.check, AnswerTag.DONE, item, as_of=as_of)
+
+
+@then('the balancer takes {name} for evacuated')
+def step_evacuated(context, name):
+    expected = set() if name == 'no data centre' else {name}
+    assert context.bench.node.directory.evacuated == expected
+
+
+@then('its copy of the evacuations is as of {as_of:d}')
+def step_as_of(context, as_of):
+    assert context.watcher.version.as_of == as_of
+
+
+@then('its watch of the evacuations goes on')
+def step_goes_on(context):
+    assert context.bench.call_of(context.watcher).verb is CallVerb.WATCH
+
+
+@then('its watch of the evacuations starts again from {revision:d}')
+def step_starts_again(context, revision):
+    assert context.bench.call_of(context.watcher) is None
+    context.bench.now_s += 0.3
+    call = context.bench.start_due(context.watcher)
+    assert (call.verb, call.revision) == (CallVerb.WATCH, revision), call
+
+
+@then('it logs that watches were restarted, {reason}')
+def step_logs(context, reason):
+    events = context.bench.node.events
+    line = logged_lines(events, 'watches-restarted')[-1]
+    assert line['reason'] == reason, line
+    assert line['kinds'] == [EVACUATION_KIND], line
+
+
+@given('a node file in which the bound {name} is {milliseconds:d}')
+def step_bound(context, name, milliseconds):
+    text = node_file()
+    text = text.replace('[bounds]', f'[bounds]\n{name} = {milliseconds}')
+    context.node = make_context()
+    context.node.apply_settings(read_node_file(text).content.settings)
+
+
+@then('a balancer checks its watches every {seconds:g} s at the latest')
+def step_period(context, seconds):
+    found_s = check_period_s(context.node)
+    assert abs(found_s - seconds) < 0.001, found_s
