A watch's answer that a check has overtaken is left out

What callers could see: flows to a data centre wrongly spared or used, for as long as a balancer kept an object that the store had removed again. Cause: a check that finds the same objects at a later revision moves the copy's revision on while the watch runs. Objects may have come and gone in between; the watch's older answer then adds them again, under the later revision. Change: an answer as of an older revision than the copy's is left out.

--- a/cumindrift/fleet/watcher.py
+++ b/cumindrift/fleet/watcher.py
@@ -5,7 +5,7 @@
 
 from attrs import define, field
 
-from cumindrift.fleet.backoff import backoff_s
+from cumindrift.fleet.backoff import BACKOFF_MIN_S, backoff_s
 from cumindrift.fleet.call import (
     AnswerTag,
     CallVerb,
@@ -153,6 +153,11 @@
         self.on_listed(listing.started_s)
 
     def _apply_events(self, answer: StoreAnswer, now_s: float) -> None:
+        if answer.as_of < self.version.as_of:
+            # A list has confirmed the copy for a later revision meanwhile, so
+            # an object that these events add may be gone again.
+            self._due_s = now_s + BACKOFF_MIN_S
+            return
         objects = dict(self.objects)
         for item in answer.items:
             known = objects.get(item.name)
@@ -163,12 +168,11 @@
                 objects.pop(item.name, None)
             else:
                 objects[item.name] = item
-        as_of = max(self.version.as_of, answer.as_of)
         if answer.items:
             self._due_s = now_s + self.batch_delay_s
-            self._take(objects, as_of, now_s)
+            self._take(objects, answer.as_of, now_s)
         else:
-            self.version.confirm(as_of, NOT_READ, now_s)
+            self.version.confirm(answer.as_of, NOT_READ, now_s)
 
     def _take(self, objects: Objects, as_of: int, now_s: float) -> None:
         """Replaces the copy by one that is complete up to `as_of`."""
