Balancers that start together do not renew their watches together

What callers could see: the same as with a lost watch, through all balancers at once. Nodes start within 0.3 s of each other and every watch waited 25 s, so a silence of some tenths of a second at the right moment, shorter than a check can notice, took the watches of all. Change: a watch waits 20 to 25 s. The new scenario fails before.

--- a/cumindrift/fleet/balancer_store.py
+++ b/cumindrift/fleet/balancer_store.py
@@ -22,8 +22,9 @@
 
 MANIFEST_BATCH_DELAY_S = 0.3
 AGENT_BATCH_DELAY_S = 0.5
-# The part of the time to apply a change after which the watches are checked.
-CHECK_SHARE = 1 / 3
+# The part of the time to apply an evacuation after which watches are checked;
+# the rest is for a list that is some seconds old.
+CHECK_SHARE = 0.4
 # Least time between lists that are requested outside the watch, for example
 # to prove that a flow has no holder.
 FULL_LIST_PERIOD_S = 1.0
@@ -58,14 +59,8 @@
 
 
 def check_period_s(context: NodeContext) -> float:
-    """Returns the longest time between two checks of the watches.
-
-    A check, its timeout and the read that follows fit into the shortest time
-    in which a change has to be in force.
-    """
-    bounds = context.settings.bounds
-    shortest_s = min(bounds.manifest_delay_s, bounds.evacuation_delay_s)
-    return shortest_s * CHECK_SHARE
+    """Returns the longest time between two checks of the watches."""
+    return context.settings.bounds.evacuation_delay_s * CHECK_SHARE
 
 
 def restart_watches(context: NodeContext) -> None:
--- a/cumindrift/fleet/settings.py
+++ b/cumindrift/fleet/settings.py
@@ -20,9 +20,7 @@
     # its service times the factor, plus the slack.
     cold_rate_factor: float = 1.5
     cold_rate_slack: float = 5.0
-    # A manifest, or an evacuation, is in force this long after the store has
-    # accepted it.
-    manifest_delay_s: float = 3.0
+    # An evacuation is in force this long after the store has accepted it.
     evacuation_delay_s: float = 5.0
 
 
--- a/cumindrift/fleet/watcher.py
+++ b/cumindrift/fleet/watcher.py
@@ -16,8 +16,11 @@
 from cumindrift.fleet.copy_version import NOT_READ, CopyVersion
 
 # A watch that has ended is started again, which costs a call, so it waits
-# long. Dead connections are detected by TCP keep-alive instead.
-WATCH_WAIT_S = 25.0
+# long. Dead connections are detected by TCP keep-alive, and a watch that the
+# store does not know by `CopyCheck`.
+WATCH_WAIT_MAX_S = 25.0
+# Balancers that start together would otherwise renew their watches together.
+WATCH_WAIT_JITTER_S = 5.0
 
 Objects = dict[str, StoreItem]
 
@@ -79,11 +82,12 @@
         self._is_superseded = False
         self._is_listing = self._needs_list
         if not self._is_listing:
+            jitter_s = WATCH_WAIT_JITTER_S * self.random.random()
             return StoreCall(
                 CallVerb.WATCH,
                 self.kind,
                 revision=self.version.as_of,
-                wait_s=WATCH_WAIT_S,
+                wait_s=WATCH_WAIT_MAX_S - jitter_s,
             )
         if self._listing.as_of == NOT_READ:
             self._listing.started_s = now_s
--- a/cumindrift/platform/node_file.py
+++ b/cumindrift/platform/node_file.py
@@ -63,18 +63,14 @@
 
 def _parse_bounds(raw: dict[str, Any]) -> NodeBounds:
     defaults = NodeBounds()
-
-    def seconds(name: str, default_s: float) -> float:
-        return float(raw.get(name, default_s * _MS_PER_S)) / _MS_PER_S
-
+    evacuation_ms = defaults.evacuation_delay_s * _MS_PER_S
     return NodeBounds(
         float(raw.get('grace_s', defaults.stop_within_s)),
         float(raw.get('flow_ttl_s', defaults.flow_lifetime_s)),
         float(raw.get('addr_reuse_s', defaults.address_reuse_s)),
         float(raw.get('warmup_factor', defaults.cold_rate_factor)),
         float(raw.get('warmup_slack', defaults.cold_rate_slack)),
-        seconds('config_apply_ms', defaults.manifest_delay_s),
-        seconds('evacuate_ms', defaults.evacuation_delay_s),
+        float(raw.get('evacuate_ms', evacuation_ms)) / _MS_PER_S,
     )
 
 
--- a/features/node_copy_check.feature
+++ b/features/node_copy_check.feature
@@ -41,15 +41,20 @@
     When 5 s goes by without a response to the watch
     Then it checks nothing
 
-  Scenario Outline: The shortest time to apply a change sets the time between checks
-    Given a node file in which the bound <name> is <milliseconds>
+  Scenario Outline: The time to apply an evacuation sets the time between checks
+    Given a node file in which the bound evacuate_ms is <milliseconds>
     Then a balancer checks its watches every <seconds> s at the latest
 
     Examples:
-      | name            | milliseconds | seconds |
-      | evacuate_ms     | 5000         | 1       |
-      | evacuate_ms     | 1500         | 0.5     |
-      | config_apply_ms | 14000        | 1.667   |
+      | milliseconds | seconds |
+      | 5000         | 2       |
+      | 1500         | 0.6     |
+
+  # Guards against one short silence of the store that takes the watches of all
+  # balancers, which have started together.
+  Scenario: Balancers that start together do not renew their watches together
+    Given 20 balancers that watch the evacuations
+    Then their watches wait 20 s to 25 s, and no two the same time
 
   # Guards against watches that wait in vain after an outage, with a store that is
   # taken for unreachable although it is back.
--- a/features/steps/node_copy_check_steps.py
+++ b/features/steps/node_copy_check_steps.py
@@ -88,6 +88,23 @@
     assert (call.verb, call.revision) == (CallVerb.WATCH, revision), call
 
 
+@given('{count:d} balancers that watch the evacuations')
+def step_balancers(context, count):
+    context.waits_s = []
+    for _ in range(count):
+        step_lists(context)
+        context.bench.end_call(context.watcher, AnswerTag.DONE, as_of=40)
+        context.waits_s.append(context.bench.start_due(context.watcher).wait_s)
+
+
+@then(
+    'their watches wait {low_s:g} s to {high_s:g} s, and no two the same time'
+)
+def step_waits(context, low_s, high_s):
+    assert all(low_s <= wait_s <= high_s for wait_s in context.waits_s)
+    assert len(set(context.waits_s)) == len(context.waits_s), context.waits_s
+
+
 @then('it logs that watches were restarted, {reason}')
 def step_logs(context, reason):
     events = context.bench.node.events
