--- a/lab/daykinds.py
+++ b/lab/daykinds.py
@@ -1,11 +1,13 @@
 """Writes day files with the faults and planned changes of a site.
 
-Each day holds one of them twice, or two that overlap.
+Each day holds one of them twice, two that overlap, or two of one kind with
+random other ones around each.
 
 Example::
 
     python -m lab.daykinds SITE.toml /tmp/days            # each kind twice
     python -m lab.daykinds SITE.toml /tmp/days --pairs=20 --seed=3
+    python -m lab.daykinds SITE.toml /tmp/days --around=evacuate --days=60
 """
 
 import json
@@ -19,7 +21,9 @@
 from absl import app, flags
 
 _PAIRS = flags.DEFINE_integer('pairs', 0, 'Write this many pairs instead.')
-_SEED = flags.DEFINE_integer('seed', 1, 'Seed of the choice of pairs.')
+_AROUND = flags.DEFINE_string('around', '', 'Put others around this kind.')
+_DAYS = flags.DEFINE_integer('days', 40, 'Days to write with --around.')
+_SEED = flags.DEFINE_integer('seed', 1, 'Seed of all random choices.')
 _ARGUMENT_COUNT = 3
 PLANNED = frozenset(
     (
@@ -41,11 +45,17 @@
     {'kind': 'reset_conns', 'share': 0.5, 'x': 1.0},
     {'kind': 'zone_loss', 'zone': '@z0', 'for_s': 2.0},
     {'kind': 'zone_cut', 'zone': '@z0', 'for_s': 4.0},
+    {'kind': 'platform_down', 'how': 'silent', 'for_s': 4.0},
     {'kind': 'node_freeze', 'share': 0.3, 'for_s': 3.0},
     {'kind': 'clock_step', 'share': 0.5, 'x': -2500.0, 'for_s': 5.0},
 )
 FIRST_AT_S, SECOND_AT_S = 4.0, 19.0
 PAIR_GAP_S = 1.0
+# Other events start this long before the one in question until this long after.
+AROUND_BEFORE_S, AROUND_AFTER_S = 6.5, 1.5
+AROUND_COUNT_MAX = 4
+# The two events of the kind in question come at most this much later.
+AROUND_SHIFT_S = 3.0
 
 # A fault or a planned change, with the fields of its line in a site file.
 SiteEvent = dict[str, Any]
@@ -98,6 +108,39 @@
         yield name, format_day(name, entries)
 
 
+def days_around(
+    kind: str, events: list[SiteEvent]
+) -> Iterator[tuple[str, str]]:
+    """Yields days with two events of a kind and random others around each."""
+    random = Random(_SEED.value)
+    chosen = [event for event in events if event['kind'] == kind]
+    others = [event for event in events if event['kind'] != kind]
+    for number in range(_DAYS.value):
+        entries: list[tuple[float, SiteEvent]] = []
+        for first_s in (FIRST_AT_S, SECOND_AT_S):
+            at_s = first_s + AROUND_SHIFT_S * random.random()
+            entries.append((round(at_s, 2), random.choice(chosen)))
+            count = random.randint(2, AROUND_COUNT_MAX)
+            entries.extend(
+                (_time_around(at_s, random), event)
+                for event in random.sample(others, count)
+            )
+        name = f'around-{kind}-{number:02}'
+        yield name, format_day(name, entries)
+
+
+def _time_around(at_s: float, random: Random) -> float:
+    earliest_s = max(0.0, at_s - AROUND_BEFORE_S)
+    return round(random.uniform(earliest_s, at_s + AROUND_AFTER_S), 2)
+
+
+def chosen_days(events: list[SiteEvent]) -> Iterator[tuple[str, str]]:
+    """Yields the names and texts of the days that the flags ask for."""
+    if _AROUND.value:
+        return days_around(_AROUND.value, events)
+    return random_pairs(events) if _PAIRS.value else each_twice(events)
+
+
 def _run(arguments: list[str]) -> int:
     if len(arguments) != _ARGUMENT_COUNT:
         sys.stderr.write('give a site file and a folder for the day files\n')
@@ -106,8 +149,7 @@
     folder = Path(arguments[2])
     folder.mkdir(parents=True, exist_ok=True)
     events = [*site['troubles'], *COMMON_EVENTS]
-    days = random_pairs(events) if _PAIRS.value else each_twice(events)
-    for name, text in days:
+    for name, text in chosen_days(events):
         (folder / f'{name}.toml').write_text(text, 'utf-8')
     return 0
 
