Timers run by the steady clock

What callers saw: after the time of day was set back, a node stopped all that it does periodically until its clock had caught up: it read nothing from the store again after a lost call, retried no SYN, noticed no silent agent, wrote no logs. Cause: the timers of circuits wait for a time of day. Class: a duration measured by a clock that may jump. Change: a timer of our own by the steady clock, for tickers, delayed responses and the check of a target.

--- a/cumindrift/administration/http.py
+++ b/cumindrift/administration/http.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from attrs import define, field
-from circuits import Event, Timer, handler
+from circuits import Event, handler
 from circuits.core.pollers import BasePoller
 from httptools import HttpParserError, HttpRequestParser
 
@@ -32,6 +32,7 @@
 from cumindrift.registry import Registry
 from cumindrift.supervision import Child
 from cumindrift.ticker import Ticker
+from cumindrift.timer import SteadyTimer
 
 BODY_BYTES_MAX = 1024 * 1024
 HEAD_BYTES_MAX = 16 * 1024
@@ -280,7 +281,8 @@
             self._respond(connection, found)
 
     def _call_after(self, delay_s: float, call: Callable[[], None]) -> None:
-        Timer(delay_s, delay_over(call), self.channel).register(self)
+        timer = SteadyTimer(delay_s, delay_over(call), self.channel)
+        timer.register(self)
 
     @handler('delay_over')
     def _on_delay_over(self, call: Callable[[], None]) -> None:
--- a/cumindrift/steering/agent/port.py
+++ b/cumindrift/steering/agent/port.py
@@ -5,7 +5,7 @@
 from time import time
 from typing import Any
 
-from circuits import Event, Timer, handler
+from circuits import Event, handler
 
 from cumindrift.address import Endpoint
 from cumindrift.fleet.context import NodeContext
@@ -16,6 +16,7 @@
 from cumindrift.steering.frame import AgentReport, ForwardedPacket
 from cumindrift.steering.port import PeerPort
 from cumindrift.supervision import Child
+from cumindrift.timer import SteadyTimer
 
 CHECK_TIMEOUT_S = 0.5
 
@@ -115,7 +116,8 @@
             self._conclude(is_refused=error == ECONNREFUSED)
             return
         find_poller(self).addWriter(self, self._sock)
-        Timer(CHECK_TIMEOUT_S, check_timeout(), self.channel).register(self)
+        timer = SteadyTimer(CHECK_TIMEOUT_S, check_timeout(), self.channel)
+        timer.register(self)
 
     @handler('_write', '_error', '_disconnect')
     def _on_connected(self, *_details: Any) -> None:
--- a/cumindrift/ticker.py
+++ b/cumindrift/ticker.py
@@ -2,11 +2,12 @@
 
 from collections.abc import Callable
 from random import SystemRandom
-from time import time
+from time import monotonic
 
-from circuits import Event, Timer, handler
+from circuits import Event, handler
 
 from cumindrift.supervision import Child
+from cumindrift.timer import SteadyTimer
 
 # All tickers of a process fire on a common time grid, so that the event loop
 # wakes up once for all that are due. The phase of the grid is random, so that
@@ -42,15 +43,15 @@
         self._call = call
         self._period_s = period_s
         self._idle_period_s = idle_period_s or period_s
-        self._timer = Timer(
-            seconds_to_grid(time(), period_s),
+        self._timer = SteadyTimer(
+            seconds_to_grid(monotonic(), period_s),
             tick(),
             self.channel,
-            persist=True,
+            is_periodic=True,
         ).register(self)
 
     @handler('tick')
     def _on_tick(self) -> None:
         is_busy = self._call()
         period_s = self._period_s if is_busy else self._idle_period_s
-        self._timer.reset(seconds_to_grid(time(), period_s))
+        self._timer.restart(seconds_to_grid(monotonic(), period_s))
--- a/lab/soak/proxy.py
+++ b/lab/soak/proxy.py
@@ -13,12 +13,13 @@
 from struct import pack
 from typing import Any
 
-from circuits import Event, Timer, handler
+from circuits import Event, handler
 
 from cumindrift.address import Endpoint
 from cumindrift.port import find_poller
 from cumindrift.registry import Registry
 from cumindrift.supervision import Child
+from cumindrift.timer import SteadyTimer
 
 RECEIVE_BYTES = 1024 * 1024
 CONNECT_S = 1.0
@@ -76,7 +77,8 @@
 
     def call_later(self, call: Callable[[], None]) -> None:
         """Calls `call` once after DELAY_S."""
-        Timer(DELAY_S, delay_elapsed(call), self.channel).register(self)
+        timer = SteadyTimer(DELAY_S, delay_elapsed(call), self.channel)
+        timer.register(self)
 
     def send(self, sock: socket, octets: bytes) -> None:
         """Sends data, or closes the connection pair if sending fails."""
