--- a/lab/packets.py
+++ b/lab/packets.py
@@ -15,7 +15,7 @@
 
 from absl import app, flags
 from attrs import define, field
-from circuits import Component, Event, Timer, handler
+from circuits import Component, Event, handler
 from circuits.core.pollers import EPoll
 from circuits.net.sockets import UDPServer
 from tabulate import tabulate
@@ -30,6 +30,7 @@
 from cumindrift.settings.process import ProcessSettings, TargetSettings
 from cumindrift.settings.tree import Service, Snapshot, Team, Tree
 from cumindrift.supervisor import build_root
+from cumindrift.timer import SteadyTimer
 from cumindrift.traffic.balancer import FabricForwarder
 from cumindrift.traffic.candidates import candidate_of, candidates_in
 from cumindrift.traffic.finder import FlowFinder
@@ -371,7 +372,7 @@
     root = build_root(context)
     EPoll().register(root)
     LoopStopper().register(root)
-    Timer(_IDLE_S.value, halt(), 'loop_stopper').register(root)
+    SteadyTimer(_IDLE_S.value, halt(), 'loop_stopper').register(root)
     start_s = perf_counter()
     start_cpu_s = process_time()
     root.run()
