The target stand-in drops answers to closed connections

Cause: circuits' server raises ValueError when it is told to write to a socket that has been closed meanwhile; the supervisor restarts the child, whose predecessor still holds the address. Change: a server that drops such writes.

--- a/standin/target.py
+++ b/standin/target.py
@@ -42,6 +42,19 @@
     key: str = ''
 
 
+class AnswerServer(TCPServer):
+    """A TCP server that drops answers to connections that were closed.
+
+    The server of circuits fails when it is given one.
+    """
+
+    @handler('write', override=True)
+    def write(self, sock: Any, octets: bytes) -> None:
+        """Sends octets on a connection."""
+        if sock.fileno() >= 0:
+            super().write(sock, octets)
+
+
 class TargetServer(Child):
     """Serves `POST` work, `GET /download?bytes=N` and `GET /load`."""
 
@@ -60,7 +73,7 @@
             _WARM_S.value,
             monotonic(),
         )
-        self._server = TCPServer(http.sockaddr(), channel=self.channel)
+        self._server = AnswerServer(http.sockaddr(), channel=self.channel)
         self._server.register(self)
         self._port = DatagramPort(packets, self._on_packet).register(self)
         Ticker('target-work', TICK_PERIOD_S, self._tick).register(self)
