--- a/lab/soak/run.py
+++ b/lab/soak/run.py
@@ -14,6 +14,7 @@
 from tempfile import mkdtemp
 
 from absl import app, flags
+from attrs import define
 from circuits.core.pollers import EPoll
 
 from lab.soak.fault import faults
@@ -35,30 +36,46 @@
 BREACHES_SHOWN_MAX = 12
 
 
-def read_regressions() -> list[tuple[int, float]]:
-    """Returns the seeds of earlier failures and their fault durations."""
+@define(frozen=True, slots=True)
+class SoakCase:
+    """A seed, the seconds of faults, and the faults that it draws from.
+
+    All faults if `fault_names` is empty.
+    """
+
+    seed: int
+    faults_s: float
+    fault_names: tuple[str, ...]
+
+
+def read_regressions() -> list[SoakCase]:
+    """Returns the cases that failed once."""
     rows = [
-        line.split()[:2]
+        line.split(maxsplit=3)
         for line in REGRESSIONS.read_text('utf-8').splitlines()
         if line and not line.startswith('#')
     ]
-    return [(int(seed), float(faults_s)) for seed, faults_s in rows]
+    return [
+        SoakCase(int(seed), float(faults_s), tuple(names.split(',')))
+        for seed, faults_s, names, _cause in rows
+    ]
 
 
-def list_runs() -> list[tuple[int, float]]:
-    """Returns the seeds to run and their fault durations in seconds."""
+def list_cases() -> list[SoakCase]:
+    """Returns the cases that the flags ask for."""
     draw = SystemRandom()
     seeds = [int(seed) for seed in _SEEDS.value]
     seeds.extend(draw.randrange(SEED_MAX) for _ in range(_FRESH.value))
-    runs = [(seed, _FAULTS_S.value) for seed in seeds]
+    names = tuple(_FAULTS.value)
+    cases = [SoakCase(seed, _FAULTS_S.value, names) for seed in seeds]
     if _REGRESSIONS.value:
-        runs.extend(read_regressions())
-    return runs
+        cases.extend(read_regressions())
+    return cases
 
 
-def run_seed(seed: int, faults_s: float) -> SoakHarness:
-    """Runs one seed and returns its finished harness."""
-    folder = Path(_KEEP.value or mkdtemp(prefix=f'soak-{seed}-'))
+def run_case(case: SoakCase) -> SoakHarness:
+    """Runs one case and returns its finished harness."""
+    folder = Path(_KEEP.value or mkdtemp(prefix=f'soak-{case.seed}-'))
     folder.mkdir(parents=True, exist_ok=True)
     topology = Topology(
         _SLOT.value,
@@ -67,7 +84,9 @@
         _CLIENTS.value,
         folder,
     )
-    harness = SoakHarness(topology, seed, faults_s, _FAULTS.value)
+    harness = SoakHarness(
+        topology, case.seed, case.faults_s, list(case.fault_names)
+    )
     EPoll().register(harness)
     try:
         harness.run()
@@ -100,14 +119,14 @@
     if unknown:
         sys.stderr.write(f'unknown faults {unknown}; {faults.names()}\n')
         return 2
-    runs = list_runs()
+    cases = list_cases()
     broken_count = 0
-    for seed, faults_s in runs:
-        harness = run_seed(seed, faults_s)
+    for case in cases:
+        harness = run_case(case)
         broken_count += bool(harness.ledger.breaches)
-        sys.stdout.write(f'{report(seed, harness)}\n')
+        sys.stdout.write(f'{report(case.seed, harness)}\n')
         sys.stdout.flush()
-    sys.stdout.write(f'{len(runs)} seeds, {broken_count} with a breach\n')
+    sys.stdout.write(f'{len(cases)} seeds, {broken_count} with a breach\n')
     return 1 if broken_count else 0
 
 
