A check of a watch is repeated when its list is older than the copy

What callers would see: new flows to an evacuated data centre for seconds more, if a watch was lost while the store's stale lists lag.

Cause: such a list shows nothing, but counted as a check that had found nothing new, so the next one came 1 to 2 s later, and was as old.

Change: it counts like a failed check, so a list that is not stale follows within 0.2 s.

Evidence: the new scenario failed before (no call was due after 0.3 s).

--- a/cumindrift/fleet/copy_check.py
+++ b/cumindrift/fleet/copy_check.py
@@ -21,7 +21,8 @@
     unreachable, and their success that it is back.
 
     The list may be seconds old, which makes it cheap for the store, but not
-    after a failure: then it has to show what happened meanwhile.
+    after a check that has shown nothing: one that failed, or whose list was
+    older than the copy.
     """
 
     watcher: KindWatcher
@@ -54,7 +55,8 @@
     def on_answer(self, answer: StoreAnswer, now_s: float) -> None:
         """Handles the result of the last check."""
         self._is_running = False
-        if answer.tag is not AnswerTag.DONE:
+        is_older = answer.as_of < self.watcher.version.as_of
+        if is_older or answer.tag is not AnswerTag.DONE:
             self.failure_count += 1
             self._due_s = now_s + backoff_s(self.failure_count, self.random)
             return
--- a/features/node_copy_check.feature
+++ b/features/node_copy_check.feature
@@ -36,6 +36,18 @@
     And 0.3 s goes by without a response to the watch
     Then it checks the evacuations by a list that is not stale
 
+  # Guards against checks that show nothing for as long as the store's stale lists
+  # lag behind, as they do after it has dropped its history.
+  Scenario: After a list that is older than the copy a check asks for one that is not stale
+    Given a balancer that watches the evacuations, as of 40
+    When 1 s goes by without a response to the watch
+    And it checks the evacuations
+    And the check finds no evacuation, as of 39
+    And 0.3 s goes by without a response to the watch
+    Then it checks the evacuations by a list that is not stale
+    When the check finds that hel-a is evacuated, as of 43
+    Then the balancer takes hel-a for evacuated
+
   Scenario: Nothing is checked while the evacuations are listed
     Given a balancer that lists the evacuations
     When 5 s goes by without a response to the watch
