A balancer takes an empty packet of a flow of requests

Cause: the cached path read the first octet of the payload, the uncached one a slice. Change: one function for both. The new scenario failed with IndexError.

--- a/cumindrift/traffic/steering.py
+++ b/cumindrift/traffic/steering.py
@@ -121,7 +121,7 @@
         packet: bytes,
     ) -> SteerTo | OpenAt | Dropped:
         if entry.is_requests:
-            if packet[_UDP_PAYLOAD_OFFSET] == opening_messages.number:
+            if _is_request_opening(packet[_UDP_PAYLOAD_OFFSET:]):
                 return _open_at(entry.route, packet)
             return SteerTo(entry, PacketKind.WITHIN)
         if entry.route.flow_key[0] == _TCP:
@@ -210,6 +210,11 @@
 def _kind_for(service: Service, inner: ParsedPacket) -> PacketKind:
     if service.front != 'requests':
         return inner.kind
-    if inner.payload[:1] == bytes((opening_messages.number,)):
+    if _is_request_opening(inner.payload):
         return PacketKind.OPEN
     return PacketKind.WITHIN
+
+
+def _is_request_opening(payload: bytes) -> bool:
+    """Tells whether a message that opens a flow is in a packet."""
+    return payload[:1] == bytes((opening_messages.number,))
--- a/features/flow_finding.feature
+++ b/features/flow_finding.feature
@@ -74,3 +74,9 @@
     Given a flow balancer whose view has hel-a out
     When a flow hint names a holder in hel-a
     Then the flow balancer steers to no agent in hel-a
+
+  # Guards against a balancer that ends by an empty packet of any client.
+  Scenario: An empty packet of a flow of requests follows the flow
+    Given a flow balancer of a service that takes requests
+    When the client of a known flow sends an empty packet
+    Then the flow balancer takes it for a packet within the flow
--- a/features/steps/flow_finding_steps.py
+++ b/features/steps/flow_finding_steps.py
@@ -10,9 +10,14 @@
 from cumindrift.settings.tree import Service, Snapshot, Team, Tree
 from cumindrift.traffic.candidates import candidate_of
 from cumindrift.traffic.flow import Record
-from cumindrift.traffic.message import FlowHint, HolderRecord, SteeredPacket
+from cumindrift.traffic.message import (
+    FlowHint,
+    HolderRecord,
+    PacketKind,
+    SteeredPacket,
+)
 from cumindrift.traffic.packet import peek_flow_key, udp_packet
-from cumindrift.traffic.steering import BalancerCore
+from cumindrift.traffic.steering import BalancerCore, SteerTo
 from features.builders.flow import BALANCER, NAME, flow_bench, key_of, member
 
 
@@ -305,22 +310,43 @@
     assert len(context.bench.hints) == number, context.bench.hints
 
 
-@given('a flow balancer whose view has hel-a out')
-def step_balancer(context):
+def _start_balancer(context, front, out=()):
     bench = flow_bench()
     core = BalancerCore(BALANCER)
-    services = {'kaynti': Service('10.20.0.1', 700, 'udp', 'packets')}
+    services = {'kaynti': Service('10.20.0.1', 700, 'udp', front)}
     core.on_settings(Snapshot(1, Tree(teams={NAME.team: Team(services)})))
-    core.on_view(bench.view(out=('hel-a',)))
+    core.on_view(bench.view(out=out))
     context.bench, context.core = bench, core
-    context.packet = udp_packet(
-        Endpoint('10.1.0.1', 4000),
-        Endpoint('10.20.0.1', 700),
-        b'whole',
-    )
+    context.packet = _packet_of(b'whole')
     core.steer(context.packet)
 
 
+def _packet_of(payload):
+    client, service = Endpoint('10.1.0.1', 4000), Endpoint('10.20.0.1', 700)
+    return udp_packet(client, service, payload)
+
+
+@given('a flow balancer whose view has hel-a out')
+def step_balancer(context):
+    _start_balancer(context, 'packets', out=('hel-a',))
+
+
+@given('a flow balancer of a service that takes requests')
+def step_requests(context):
+    _start_balancer(context, 'requests')
+
+
+@when('the client of a known flow sends an empty packet')
+def step_empty(context):
+    context.decision = context.core.steer(_packet_of(b''))
+
+
+@then('the flow balancer takes it for a packet within the flow')
+def step_within(context):
+    assert isinstance(context.decision, SteerTo), context.decision
+    assert context.decision.kind is PacketKind.WITHIN, context.decision
+
+
 @when('a flow hint names a holder in hel-a')
 def step_hint_out(context):
     holder = next(
