An agent's record is removed also while it is read or written

Cause: the recorder knew only whether a write had been confirmed, and took everything else for no record.

--- a/cumindrift/fleet/recorder.py
+++ b/cumindrift/fleet/recorder.py
@@ -18,6 +18,8 @@
 # acknowledgement.
 RESET_WINDOW = 76_800
 _ENTRY = Struct('>12sI')
+# Results that tell whether the store holds a record.
+_ANSWERED = frozenset((AnswerTag.DONE, AnswerTag.CONFLICT, AnswerTag.ABSENT))
 
 
 @define(frozen=True, slots=True, repr=False)
@@ -79,16 +81,22 @@
     # there is no earlier record.
     has_read: bool = False
     _is_removing: bool = False
-    _is_stored: bool = False
+    # Whether the store may hold a record, for all that is known.
+    _may_be_stored: bool = field(init=False)
     _written: FlowRecord = field(factory=lambda: FlowRecord(0))
     _sent: FlowRecord | None = None
     _due_s: float = 0.0
-    _is_running: bool = False
+    # The operation of the running call, if any.
+    _running: CallVerb | None = None
+
+    def __attrs_post_init__(self) -> None:
+        """Assumes an earlier record until the store says that there is none."""
+        self._may_be_stored = not self.has_read
 
     @property
     def is_removed(self) -> bool:
         """Tells whether removal was requested and no record is stored."""
-        return self._is_removing and not self._is_stored
+        return self._is_removing and not self._may_be_stored
 
     def request_removal(self) -> None:
         """Requests removal of the record; its target has ended."""
@@ -97,10 +105,11 @@
 
     def next_call(self, now_s: float) -> StoreCall | None:
         """Returns the call that is due now, if any."""
-        if self._is_running or now_s < self._due_s:
+        if self._running is not None or now_s < self._due_s:
             return None
         if self._is_removing:
-            return self._start(CallVerb.REMOVE) if self._is_stored else None
+            is_needed = self._may_be_stored
+            return self._start(CallVerb.REMOVE) if is_needed else None
         if not self.has_read:
             return self._start(CallVerb.READ)
         self._due_s = now_s + WRITE_PERIOD_S * (1 + self.random.random() / 4)
@@ -108,26 +117,26 @@
         if record.is_close_to(self._written):
             return None
         self._sent = record
-        verb = CallVerb.REPLACE if self._is_stored else CallVerb.CREATE
+        verb = CallVerb.REPLACE if self._may_be_stored else CallVerb.CREATE
+        # Without an answer the record may have been written all the same.
+        self._may_be_stored = True
         return self._start(verb, record.encode())
 
     def on_answer(self, answer: StoreAnswer, now_s: float) -> None:
         """Handles the result of the last call."""
-        self._is_running = False
-        if answer.tag in {AnswerTag.DONE, AnswerTag.CONFLICT}:
-            self.failure_count = 0
-            self._is_stored = not self._is_removing
-            self._apply_answer(answer)
-        elif answer.tag is AnswerTag.ABSENT:
-            self.failure_count = 0
-            self._is_stored = False
-            self.has_read = True
-        else:
+        verb = self._running
+        self._running = None
+        if answer.tag not in _ANSWERED:
             self.failure_count += 1
             self._due_s = now_s + BACKOFF_MAX_S * (1 + self.random.random())
-
-    def _apply_answer(self, answer: StoreAnswer) -> None:
-        if not self.has_read:
+            return
+        self.failure_count = 0
+        is_absent = answer.tag is AnswerTag.ABSENT
+        self._may_be_stored = not (is_absent or verb is CallVerb.REMOVE)
+        if is_absent:
+            # The first record, or one whose last write was lost, is due now.
+            self._due_s = now_s
+        if verb is CallVerb.READ:
             self.has_read = True
             if answer.items:
                 self.on_record(answer.items[0].content)
@@ -135,5 +144,5 @@
             self._written = self._sent
 
     def _start(self, verb: CallVerb, content: Any = None) -> StoreCall:
-        self._is_running = True
+        self._running = verb
         return StoreCall(verb, self.kind, self.name, content=content)
--- a/features/builders/node_store.py
+++ b/features/builders/node_store.py
@@ -13,6 +13,12 @@
 from cumindrift.fleet.context import NodeContext
 from cumindrift.fleet.directory import Directory
 from cumindrift.fleet.link import CallSource, RunningCall, StoreLink
+from cumindrift.fleet.recorder import (
+    RESET_WINDOW,
+    WRITE_PERIOD_S,
+    FlowRecord,
+    FlowRecorder,
+)
 from cumindrift.fleet.watcher import KindWatcher
 from cumindrift.platform.node_file import read_node_file
 from features.builders.node import node_file
@@ -84,6 +90,40 @@
         self.seen = objects
 
 
+@define(slots=True, eq=False)
+class RecorderBench:
+    """A recorder with a test clock; tests provide the results of its calls.
+
+    Before each call, the time passes that a recorder waits at most.
+    """
+
+    now_s: float = 50.0
+    recorder: FlowRecorder = field(init=False)
+    # A flow's last acknowledgement, which differs from record to record.
+    _acknowledged: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Builds the recorder."""
+        self.recorder = FlowRecorder(
+            'records', 'side-1', Random(1), lambda _content: None, self._build
+        )
+
+    def start_call(self) -> StoreCall | None:
+        """Returns the call that is due after the longest pause."""
+        self.now_s += 2 * WRITE_PERIOD_S
+        return self.recorder.next_call(self.now_s)
+
+    def end_call(self, tag: AnswerTag) -> None:
+        """Ends the running call with a result."""
+        is_done = tag is AnswerTag.DONE
+        items = (StoreItem('side-1', 7, {}),) if is_done else ()
+        self.recorder.on_answer(StoreAnswer(tag, items), self.now_s)
+
+    def _build(self) -> FlowRecord:
+        self._acknowledged += RESET_WINDOW
+        return FlowRecord(3, {bytes(12): self._acknowledged})
+
+
 def make_announcer() -> Announcer:
     """Returns an announcer with a desired entry."""
     announcer = Announcer('agents', 'side-1', Random(1))
