--- a/cumindrift/event.py
+++ b/cumindrift/event.py
@@ -91,9 +91,9 @@
         # The monotonic clock as well, since the time of day may jump.
         self._queue.append((time(), self.clock(), event, fields))
 
-    def _count_drop(self) -> None:
-        self.dropped_count += 1
-        LOG_LINES_DROPPED.inc()
+    def _count_drop(self, line_count: int = 1) -> None:
+        self.dropped_count += line_count
+        LOG_LINES_DROPPED.inc(line_count)
 
     def _next_lines(self) -> bytes:
         now_s = self.clock()
@@ -135,8 +135,8 @@
             return False
         except OSError:
             # The reader has closed its end, so nothing can be logged.
+            self._count_drop(self._unsent.count(b'\n'))
             self._unsent = b''
-            self._count_drop()
             return False
         self._unsent = self._unsent[sent:]
         return not self._unsent
--- a/features/node_life.feature
+++ b/features/node_life.feature
@@ -44,6 +44,14 @@
     When the reader reads again
     Then a line says how many were dropped
 
+  # Guards against logs that have lost more lines than they say.
+  Scenario: A log whose reader has closed its end counts each line that is lost
+    Given a log whose reader has closed its end
+    When 20 events are logged in 1 s
+    And the reader reads again
+    And 1 event is logged in 1 s
+    Then each of the 21 events was written or counted as dropped
+
   Scenario: The rate of log lines is limited
     Given a log whose lines are read at once
     When 20000 events are logged in 1 s
--- a/features/steps/node_life_steps.py
+++ b/features/steps/node_life_steps.py
@@ -164,6 +164,17 @@
     context.events = EventLog('side-1', lambda: context.now_s, refuse)
 
 
+def break_pipe(_octets):
+    """Behaves like a pipe whose reader has closed its end."""
+    raise BrokenPipeError
+
+
+@given('a log whose reader has closed its end')
+def step_closed_reader(context):
+    context.now_s = 0.0
+    context.events = EventLog('side-1', lambda: context.now_s, break_pipe)
+
+
 @given('a log whose lines are read at once')
 def step_reader(context):
     context.now_s = 0.0
@@ -175,6 +186,7 @@
     )
 
 
+@when('{count:d} event is logged in 1 s')
 @when('{count:d} events are logged in 1 s')
 def step_events(context, count):
     for number in range(count):
@@ -210,6 +222,14 @@
     assert line['count'] > 10000
 
 
+@then('each of the {count:d} events was written or counted as dropped')
+def step_all_counted(context, count):
+    names = [line['event'] for line in context.lines]
+    counts = [line.get('count', 0) for line in context.lines]
+    found = names.count('flow-opened') + sum(counts)
+    assert found == count, context.lines
+
+
 @then('at most {count:d} lines were written')
 def step_written(context, count):
     assert 0 < len(context.lines) <= count, len(context.lines)
