--- a/lab/membership.py
+++ b/lab/membership.py
@@ -92,10 +92,10 @@
 
 def false_removals(cluster: MemberCluster, count: int) -> int:
     """Returns how often a running member is missing from another's view."""
+    running_count = count - len(cluster.stopped)
     return sum(
-        count - len(core.view.members) + len(cluster.stopped)
+        max(0, running_count - len(core.view.members))
         for core in cluster.running()
-        if len(core.view.members) < count - len(cluster.stopped)
     )
 
 
--- a/lab/requestwarm.py
+++ b/lab/requestwarm.py
@@ -265,10 +265,7 @@
     rows = []
     for case in CASES:
         for name in limiters.names():
-            seeds = range(
-                flags.FLAGS.seed, flags.FLAGS.seed + flags.FLAGS.seeds
-            )
-            runs = [run_case(case, name, seed) for seed in seeds]
+            runs = [run_case(case, name, seed) for seed in _seeds()]
             rows.append(row(case, name, runs))
     table = tabulate(rows, HEADERS, tablefmt='github', floatfmt='.2f')
     sys.stdout.write(f'{table}\n')
