--- a/cumindrift/traffic/request.py
+++ b/cumindrift/traffic/request.py
@@ -1,6 +1,5 @@
 """The request core: runs requests at most once, returns responses in parts."""
 
-from collections import deque
 from random import Random
 
 from attrs import define, field
@@ -25,9 +24,7 @@
     ResponseBuffer,
 )
 from cumindrift.traffic.request_action import (
-    READ_AHEAD_PARTS,
     Ended,
-    Pause,
     Reply,
     RequestAction,
     Run,
@@ -35,16 +32,15 @@
     overdue_code,
     part_replies,
     repeat_reply,
-    resume_if_drained,
     verdict_reply,
 )
+from cumindrift.traffic.request_queue import QUEUE_MAX, RequestQueue
+from cumindrift.traffic.response_sender import ResponseSender
 
-QUEUE_MAX = 16
 # A planned stop waits this long for the acknowledgement of a response.
 DELIVERY_TIMEOUT_S = 10.0
 # HTTP status by which a target says that it did not run a request.
 STATUS_SHED = 503
-RETRY_AFTER_MIN_S = 0.05
 
 
 @define(slots=True)
@@ -59,10 +55,21 @@
     random: Random
     checks_deadlines: bool = True
     queue_max: int = QUEUE_MAX
-    _queue: deque[bytes] = field(factory=deque)
+    _queue: RequestQueue = field(init=False)
+    _responses: ResponseSender = field(init=False)
     _running: dict[bytes, Entry] = field(factory=dict)
     _stopping_since_s: float | None = None
 
+    def __attrs_post_init__(self) -> None:
+        """Builds the parts, which share ledger and admission."""
+        self._responses = ResponseSender(self.ledger)
+        self._queue = RequestQueue(
+            self.admission,
+            self.random,
+            self.checks_deadlines,
+            self.queue_max,
+        )
+
     def on_request(
         self,
         request: Request,
@@ -83,9 +90,9 @@
         entry = self._admit(request, caller, now_s)
         if self._stopping_since_s is not None:
             return self._forbid(entry, ResultCode.STOPPING, now_s)
-        if not self._can_queue(entry, now_s):
+        if not self._queue.can_take(entry, now_s):
             return self._forbid(entry, ResultCode.NO_ROOM, now_s)
-        self._queue.append(request.request_id)
+        self._queue.add(entry)
         return self.start_next(now_s)
 
     def on_part_ask(
@@ -95,26 +102,7 @@
         now_s: float,
     ) -> list[RequestAction]:
         """Sends the parts asked for; drops those before them as received."""
-        entry = self.ledger.entries.get(ask.request_id)
-        if self.ledger.is_exported:
-            return []
-        if entry is None:
-            code = ResultCode.OUTCOME_UNKNOWN
-            if ask.incarnation not in self.ledger.clock_offsets_s:
-                code = ResultCode.OTHER_INCARNATION
-            return [Reply(caller, Verdict(ask.request_id, code))]
-        response = entry.response
-        if response is None or ask.first_number < response.first_kept:
-            return repeat_reply(entry, caller, ask.first_number)
-        entry.caller = caller
-        entry.asked_s = now_s
-        until = ask.first_number + ask.part_count
-        self.ledger.add_response_bytes(-response.drop_before(ask.first_number))
-        response.asked_until = max(response.asked_until, until)
-        actions = part_replies(entry, caller, response.sendable(0, until))
-        return [*actions, *resume_if_drained(entry)] or [
-            verdict_reply(entry, caller)
-        ]
+        return self._responses.on_part_ask(ask, caller, now_s)
 
     def on_cancel(
         self,
@@ -144,9 +132,7 @@
 
     def on_acknowledge(self, message: Acknowledge) -> None:
         """Drops a response that its caller has received completely."""
-        entry = self.ledger.entries.get(message.request_id)
-        if entry is not None and entry.state is EntryState.DONE:
-            self.ledger.drop_response(entry)
+        self._responses.on_acknowledge(message)
 
     def on_head(
         self,
@@ -170,29 +156,11 @@
         return []
 
     def on_body(self, request_id: bytes, body: bytes) -> list[RequestAction]:
-        """Buffers a piece of the response body and sends complete parts.
-
-        Reading from the target pauses when too many parts wait for the
-        caller.
-        """
+        """Sends a piece of the response body as soon as a part is complete."""
         entry = self._running.get(request_id)
         if entry is None or entry.response is None:
             return []
-        response = entry.response
-        numbers = response.append(body)
-        self.ledger.add_response_bytes(len(body))
-        actions = part_replies(
-            entry,
-            entry.caller,
-            [number for number in numbers if number < response.asked_until],
-        )
-        is_ahead = (
-            response.part_count >= response.asked_until + READ_AHEAD_PARTS
-        )
-        if is_ahead and not entry.is_paused:
-            entry.is_paused = True
-            actions.append(Pause(request_id))
-        return actions
+        return self._responses.on_body(entry, body)
 
     def on_end(self, request_id: bytes, now_s: float) -> list[RequestAction]:
         """Completes the response to a request."""
@@ -231,9 +199,9 @@
             code = overdue_code(entry, now_s)
             if code is not None and self.checks_deadlines:
                 actions.extend(self._abort(entry, code, now_s))
-        for request_id in list(self._queue):
+        for request_id in list(self._queue.ids):
             entry = self.ledger.entries[request_id]
-            if self._is_too_late(entry, now_s):
+            if self._queue.is_too_late(entry, now_s):
                 actions.extend(
                     self._forbid(entry, ResultCode.TOO_LATE, now_s),
                 )
@@ -281,21 +249,22 @@
         Requests that can't meet their deadline any more are refused.
         """
         actions: list[RequestAction] = []
-        while self._queue and self.admission.may_start(now_s):
-            entry = self.ledger.entries[self._queue[0]]
-            if self._is_too_late(entry, now_s):
+        queue = self._queue
+        while queue.ids and self.admission.may_start(now_s):
+            entry = self.ledger.entries[queue.ids[0]]
+            if queue.is_too_late(entry, now_s):
                 actions.extend(
                     self._forbid(entry, ResultCode.TOO_LATE, now_s),
                 )
                 continue
-            self._queue.popleft()
+            queue.remove(entry)
             actions.append(self._start(entry, now_s))
         return actions
 
     @property
     def open_count(self) -> int:
         """The number of requests that are queued or running."""
-        return len(self._queue) + len(self._running)
+        return len(self._queue.ids) + len(self._running)
 
     def _refusal_code(
         self, request: Request, now_s: float
@@ -332,27 +301,11 @@
         now_s: float,
     ) -> list[RequestAction]:
         actions: list[RequestAction] = []
-        for request_id in list(self._queue):
+        for request_id in list(self._queue.ids):
             entry = self.ledger.entries[request_id]
             actions.extend(self._forbid(entry, code, now_s))
         return actions
 
-    def _can_queue(self, entry: Entry, now_s: float) -> bool:
-        if len(self._queue) >= self.queue_max:
-            return False
-        return not self.checks_deadlines or (
-            now_s + self._expected_wait_s() < entry.deadline_s
-        )
-
-    def _expected_wait_s(self) -> float:
-        admission = self.admission
-        turns = (len(self._queue) + 1) / admission.limit
-        return turns * admission.expected_response_s()
-
-    def _is_too_late(self, entry: Entry, now_s: float) -> bool:
-        due_s = now_s + self.admission.expected_response_s()
-        return self.checks_deadlines and due_s >= entry.deadline_s
-
     def _start(self, entry: Entry, now_s: float) -> Run:
         require(
             entry.state is EntryState.QUEUED and entry.started_s is None,
@@ -398,7 +351,9 @@
         )
         self.admission.on_failure(now_s)
         self._finish(entry, EntryState.FORBIDDEN, code, now_s)
-        verdict = verdict_reply(entry, entry.caller, self._retry_after_ms())
+        verdict = verdict_reply(
+            entry, entry.caller, self._queue.retry_after_ms()
+        )
         return [verdict, Ended(entry), *self.start_next(now_s)]
 
     def _forbid(
@@ -412,11 +367,10 @@
             'not-run-is-true',
             request_id=entry.request_id.hex(),
         )
-        if entry.request_id in self._queue:
-            self._queue.remove(entry.request_id)
+        self._queue.remove(entry)
         self.ledger.end(entry, EntryState.FORBIDDEN, code, now_s)
         return [
-            verdict_reply(entry, entry.caller, self._retry_after_ms()),
+            verdict_reply(entry, entry.caller, self._queue.retry_after_ms()),
             Ended(entry),
         ]
 
@@ -442,7 +396,3 @@
         self._running.pop(entry.request_id)
         self.admission.on_finished(entry.request_id)
         self.ledger.end(entry, state, code, now_s)
-
-    def _retry_after_ms(self) -> int:
-        wait_s = max(RETRY_AFTER_MIN_S, self._expected_wait_s())
-        return int(wait_s * MS_PER_S * (0.5 + self.random.random()))
--- a/lab/requestagent.py
+++ b/lab/requestagent.py
@@ -32,7 +32,7 @@
     generate_incarnation,
 )
 from cumindrift.traffic.ledger_image import export_ledger, import_ledger
-from cumindrift.traffic.request import QUEUE_MAX, RequestCore
+from cumindrift.traffic.request import RequestCore
 from cumindrift.traffic.request_action import (
     Ended,
     Pause,
@@ -42,6 +42,7 @@
     Run,
     Stop,
 )
+from cumindrift.traffic.request_queue import QUEUE_MAX
 from cumindrift.wire import decode_frame, encode_frame
 from lab.network import VirtualNetwork
 from standin.model import WorkModel
