Agent: one function ends a flow that its target has lost

The two places that reset such a flow were alike but for the reason; a client whose last packet was a reset gets none in return at both now.

--- a/cumindrift/steering/agent/core.py
+++ b/cumindrift/steering/agent/core.py
@@ -242,10 +242,7 @@
         elif flow.is_confirmed:
             # The target held the flow and lost it: it restarted or dropped
             # the flow.
-            self._log_reset(key, 'bounced')
-            if not packet.is_reset:
-                state.output.reset(key, packet.acknowledged)
-            state.send_report(flow.origin_ip, FrameKind.ENDED, key)
+            self._end_flow(key, flow, packet, 'bounced')
         else:
             self._return_for_search(key, flow, packet)
 
@@ -350,17 +347,25 @@
         if flow.is_assumed:
             self._return_for_search(key, flow, last)
         elif flow.is_established and last is not None:
-            self._log_reset(key, 'target-gone')
-            state.output.reset(key, last.acknowledged)
-            state.send_report(flow.origin_ip, FrameKind.ENDED, key)
+            self._end_flow(key, flow, last, 'target-gone')
         else:
             self.opener.on_not_opened(flow, flow.client_packet, Refusal.GONE)
 
-    def _log_reset(self, key: bytes, reason: str) -> None:
-        self.state.log_decision(
+    def _end_flow(
+        self, key: bytes, flow: Flow, last: FlowPacket, reason: str
+    ) -> None:
+        """Resets the client of a flow that its target has lost.
+
+        A client whose `last` packet was a reset has ended the flow itself.
+        """
+        state = self.state
+        state.log_decision(
             'flow-reset',
             key,
             reason=reason,
-            incarnation=self.state.target.incarnation,
+            incarnation=state.target.incarnation,
             code=int(ResultCode.FLOW_LOST),
         )
+        if not last.is_reset:
+            state.output.reset(key, last.acknowledged)
+        state.send_report(flow.origin_ip, FrameKind.ENDED, key)
