Log: each evacuated data centre beside its own revision

What engineers saw: evacuations-taken lists the data centres in order of their names and the revisions in the order in which the objects arrived, so with two of them a revision may be read as that of the other. The new scenario failed: [42, 43] for hel-a and van-c, which are of 43 and 42.

--- a/cumindrift/fleet/balancer_store.py
+++ b/cumindrift/fleet/balancer_store.py
@@ -133,7 +133,7 @@
         context.events.note_urgently(
             'evacuations-taken',
             data_centres=sorted(data_centres),
-            revisions=[item.revision for item in objects.values()],
+            revisions=[objects[name].revision for name in sorted(objects)],
         )
     context.directory.apply_evacuations(data_centres)
 
--- a/features/node_copy_check.feature
+++ b/features/node_copy_check.feature
@@ -81,3 +81,9 @@
     And the check finds no evacuation, as of 40
     Then its watch of the evacuations starts again from 40
     And it logs that watches were restarted, store regained
+
+  # Guards against logs that name the revision of another data centre.
+  Scenario: The log of evacuations names each data centre's own revision
+    Given a balancer that watches the evacuations, as of 40
+    When its watch finds van-c evacuated, of revision 42, and hel-a, of 43
+    Then it logs the evacuations of hel-a, van-c, of revisions 43, 42
--- a/features/steps/node_copy_check_steps.py
+++ b/features/steps/node_copy_check_steps.py
@@ -125,3 +125,20 @@
 def step_period(context, seconds):
     found_s = check_period_s(context.node)
     assert abs(found_s - seconds) < 0.001, found_s
+
+
+@when(
+    'its watch finds {first} evacuated, of revision {one:d}, '
+    'and {second}, of {two:d}'
+)
+def step_watch_finds(context, first, one, second, two):
+    items = (StoreItem(first, one, {}), StoreItem(second, two, {}))
+    context.bench.end_call(context.watcher, AnswerTag.DONE, *items, as_of=two)
+
+
+@then('it logs the evacuations of {names}, of revisions {revisions}')
+def step_logs_evacuations(context, names, revisions):
+    events = context.bench.node.events
+    line = logged_lines(events, 'evacuations-taken')[-1]
+    assert line['data_centres'] == names.split(', '), line
+    assert line['revisions'] == [int(n) for n in revisions.split(', ')], line
