--- a/cumindrift/tool/local.py
+++ b/cumindrift/tool/local.py
@@ -1,14 +1,16 @@
-"""Commands that call no balancer: help, codes and new tokens."""
+"""Commands that call no balancer: help, codes, new tokens, node files."""
 
 import json
 import re
+from pathlib import Path
 from secrets import token_bytes
 
 from attrs import asdict
 from tabulate import tabulate
 
 from cumindrift.code import ResultCode
-from cumindrift.outcome import Done, Outcome
+from cumindrift.outcome import Done, Outcome, Refused
+from cumindrift.platform.node_file import read_node_file
 from cumindrift.settings.token import TOKEN_BYTES, make_token
 from cumindrift.tool.reading import format_table
 from cumindrift.tool.session import (
@@ -76,3 +78,24 @@
     rows = [[usage_of(entry), summary_of(entry)] for _, entry in commands]
     data = [{'usage': usage, 'summary': summary} for usage, summary in rows]
     return Done(Report(data, format_table(rows, ['command', 'what it does'])))
+
+
+@commands.register('check-node')
+def check_node(session: Session, arguments: list[str]) -> Outcome:
+    """Checks a settings file that the platform has written for a node.
+
+    Usage: check-node FILE
+    """
+    if len(arguments) != 1:
+        return usage_error('check-node')
+    try:
+        text = Path(arguments[0]).read_text('utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        path = arguments[0]
+        return Refused(ResultCode.SETTINGS_FILE, path, str(error))
+    outcome = read_node_file(text)
+    if isinstance(outcome, Refused):
+        return outcome
+    settings = outcome.content.settings
+    data = {'role': settings.role, 'name': settings.name}
+    return Done(Report(data, f'{settings.role} {settings.name}: in order'))
--- a/cumindrift/tool/story.py
+++ b/cumindrift/tool/story.py
@@ -1,90 +1,17 @@
 """Reconstructs the history of a flow from the logs of many nodes."""
 
-import json
-import re
 from collections.abc import Iterable
-from pathlib import Path
-from statistics import median
 from typing import Any
 
-from attrs import define, field
-
 from cumindrift.code import ResultCode
-from cumindrift.outcome import Done, NotRun, Outcome, Refused
-from cumindrift.platform.node_file import read_node_file
+from cumindrift.outcome import Done, NotRun, Outcome
+from cumindrift.tool.node_log import LogLine, merge_logs, read_logs
 from cumindrift.tool.reading import format_table
 from cumindrift.tool.session import Report, Session, commands, usage_error
 
-# The lab prefixes each line with its own time and the node's name.
-_JSON_OBJECT = re.compile(r'\{.*\}\s*$')
 _COMMON_FIELDS = frozenset(('time', 'up_s', 'node', 'event', 'flow'))
 
 
-@define(frozen=True, slots=True)
-class LogLine:
-    """One event of a node; jumps of the wall clock don't affect `at_s`."""
-
-    at_s: float
-    node: str
-    event: str
-    fields: dict[str, Any]
-
-
-@define(slots=True)
-class NodeLog:
-    """The log lines of one run of a node."""
-
-    lines: list[dict[str, Any]] = field(factory=list)
-
-    def offset_s(self) -> float:
-        """Returns the wall clock minus the node's monotonic clock.
-
-        The median ignores the few lines logged while the clock was wrong.
-        """
-        return median(line['time'] - line['up_s'] for line in self.lines)
-
-
-def read_events(lines: Iterable[str]) -> list[dict[str, Any]]:
-    """Returns the events in log lines; ignores all other lines."""
-    events = []
-    for line in lines:
-        found = _JSON_OBJECT.search(line)
-        if found is None:
-            continue
-        try:
-            data = json.loads(found.group())
-        except ValueError:
-            continue
-        if {'time', 'up_s', 'node', 'event'} <= data.keys():
-            events.append(data)
-    return events
-
-
-def merge_logs(events: Iterable[dict[str, Any]]) -> list[LogLine]:
-    """Merges the events of all nodes in order, even if clocks have jumped."""
-    runs: dict[tuple[str, int], NodeLog] = {}
-    starts: dict[str, int] = {}
-    for data in events:
-        node = data['node']
-        if data['event'] == 'node-started':
-            starts[node] = starts.get(node, 0) + 1
-        run = (node, starts.get(node, 0))
-        runs.setdefault(run, NodeLog()).lines.append(data)
-    ordered = []
-    for (node, _), log in runs.items():
-        offset_s = log.offset_s()
-        ordered.extend(
-            LogLine(
-                data['up_s'] + offset_s,
-                node,
-                data['event'],
-                {key: data[key] for key in data if key != 'time'},
-            )
-            for data in log.lines
-        )
-    return sorted(ordered, key=lambda line: line.at_s)
-
-
 def events_of_flow(
     events: Iterable[dict[str, Any]], flow: str
 ) -> list[LogLine]:
@@ -105,14 +32,10 @@
     if len(arguments) < 2 or ':' not in arguments[0]:
         return usage_error('story')
     flow, *paths = arguments
-    events = []
-    for path in paths:
-        try:
-            text = Path(path).read_text('utf-8', 'replace')
-        except OSError as error:
-            return NotRun(ResultCode.BAD_COMMAND, str(error))
-        events.extend(read_events(text.splitlines()))
-    lines = events_of_flow(events, flow)
+    found = read_logs(paths)
+    if not isinstance(found, Done):
+        return found
+    lines = events_of_flow(found.content, flow)
     if not lines:
         return NotRun(ResultCode.BAD_COMMAND, f'no event of flow {flow}')
     start_s = lines[0].at_s
@@ -133,27 +56,6 @@
     )
 
 
-@commands.register('check-node')
-def check_node(session: Session, arguments: list[str]) -> Outcome:
-    """Checks a settings file that the platform has written for a node.
-
-    Usage: check-node FILE
-    """
-    if len(arguments) != 1:
-        return usage_error('check-node')
-    try:
-        text = Path(arguments[0]).read_text('utf-8')
-    except (OSError, UnicodeDecodeError) as error:
-        path = arguments[0]
-        return Refused(ResultCode.SETTINGS_FILE, path, str(error))
-    outcome = read_node_file(text)
-    if isinstance(outcome, Refused):
-        return outcome
-    settings = outcome.content.settings
-    data = {'role': settings.role, 'name': settings.name}
-    return Done(Report(data, f'{settings.role} {settings.name}: in order'))
-
-
 def _format_fields(line: LogLine) -> str:
     return ' '.join(
         f'{key}={content}'
--- a/features/steps/story_steps.py
+++ b/features/steps/story_steps.py
@@ -5,7 +5,8 @@
 
 from behave import given, then, when
 
-from cumindrift.tool.story import events_of_flow, read_events
+from cumindrift.tool.node_log import read_events
+from cumindrift.tool.story import events_of_flow
 from features.builders.node import node_file
 from features.builders.tool import ToolBench
 
