--- a/cumindrift/tool/command.py
+++ b/cumindrift/tool/command.py
@@ -11,6 +11,7 @@
 from cumindrift.address import Endpoint
 from cumindrift.code import ResultCode
 from cumindrift.outcome import Done, NotRun, Outcome, Refused
+from cumindrift.tool import evacuations as _evacuations
 from cumindrift.tool import local as _local
 from cumindrift.tool import metric as _metric
 from cumindrift.tool import reading as _reading
@@ -20,7 +21,14 @@
 from cumindrift.tool.session import Options, Report, Session, commands
 
 # Importing these modules registers their commands.
-COMMAND_MODULES = (_local, _metric, _reading, _story, _writing)
+COMMAND_MODULES = (
+    _evacuations,
+    _local,
+    _metric,
+    _reading,
+    _story,
+    _writing,
+)
 
 BALANCERS_VARIABLE = 'CUMINDRIFT_BALANCERS'
 TOKEN_VARIABLE = 'CUMINDRIFT_TOKEN'  # noqa: S105 - the name of a variable
--- a/features/steps/story_steps.py
+++ b/features/steps/story_steps.py
@@ -8,33 +8,25 @@
 from cumindrift.tool.node_log import read_events
 from cumindrift.tool.story import events_of_flow
 from features.builders.node import node_file
+from features.builders.node_log import event_of
 from features.builders.tool import ToolBench
 
 FLOW = '100.64.0.7:40001>198.18.0.1:443'
 
 
-def line(at_s, node, event, **fields):
-    """Returns an event of a node that started at 1000 s."""
-    return {
-        'time': 1_000_000 + at_s,
-        'up_s': at_s if node == 'front-1' else at_s + 500,
-        'node': node,
-        'event': event,
-        **fields,
-    }
-
-
 @given('logs of a balancer and an agent, whose flow was opened and reset')
 def step_logs(context):
     context.events = [
-        line(1.0, 'front-1', 'node-started'),
-        line(2.0, 'front-1', 'open-sent', flow=FLOW),
-        line(4.0, 'front-1', 'flow-searched', flow=FLOW),
-        line(1.0, 'side-1', 'node-started'),
-        line(2.001, 'side-1', 'flow-opened', flow=FLOW),
-        line(3.0, 'side-1', 'flow-opened', flow='100.64.0.9:1>198.18.0.1:443'),
-        line(3.5, 'side-1', 'target-gone'),
-        line(4.002, 'side-1', 'flow-reset', flow=FLOW),
+        event_of(1.0, 'front-1', 'node-started'),
+        event_of(2.0, 'front-1', 'open-sent', flow=FLOW),
+        event_of(4.0, 'front-1', 'flow-searched', flow=FLOW),
+        event_of(1.0, 'side-1', 'node-started'),
+        event_of(2.001, 'side-1', 'flow-opened', flow=FLOW),
+        event_of(
+            3.0, 'side-1', 'flow-opened', flow='100.64.0.9:1>198.18.0.1:443'
+        ),
+        event_of(3.5, 'side-1', 'target-gone'),
+        event_of(4.002, 'side-1', 'flow-reset', flow=FLOW),
     ]
 
 
