--- a/cumindrift/tool/evacuations.py
+++ b/cumindrift/tool/evacuations.py
@@ -20,12 +20,13 @@
     'to s',
     'last knows after s',
     'last balancer',
+    'unaware balancers',
     'late flows',
 )
 EVACUATION_DELAY_S = NodeBounds().evacuation_delay_s
 
 
-@define(slots=True)
+@define(slots=True, eq=False)
 class Evacuation:
     """One evacuation of a data centre, as the balancers' logs show it.
 
@@ -37,6 +38,8 @@
         last_node: The balancer that was the last to know, of those that ran
             when the first one knew.
         last_known_s: When that balancer knew.
+        unaware_nodes: The balancers that placed flows without knowing of the
+            evacuation when it should have been in force.
         late_flows: The flows that agents of the data centre opened although
             the evacuation should have been in force.
     """
@@ -47,8 +50,13 @@
     last_node: str
     last_known_s: float
     to_s: float = inf
+    unaware_nodes: set[str] = field(factory=set)
     late_flows: list[LogLine] = field(factory=list)
 
+    def is_due(self, at_s: float) -> bool:
+        """Tells whether the evacuation should be in force at that time."""
+        return self.from_s + EVACUATION_DELAY_S < at_s < self.to_s
+
 
 @define(slots=True)
 class EvacuationReader:
@@ -68,6 +76,8 @@
             self._known.pop(line.node, None)
         elif line.event == 'evacuations-taken':
             self._on_taken(line)
+        elif line.event == 'open-sent':
+            self._on_sent(line)
         elif line.event == 'flow-opened':
             self._on_opened(line)
 
@@ -99,12 +109,17 @@
                 return found
         return None
 
+    def _on_sent(self, line: LogLine) -> None:
+        known = self._known.get(line.node, [])
+        for evacuation in self.evacuations:
+            if evacuation.is_due(line.at_s) and evacuation not in known:
+                evacuation.unaware_nodes.add(line.node)
+
     def _on_opened(self, line: LogLine) -> None:
         centre = self._centres.get(line.node)
         for evacuation in self.evacuations:
-            due_s = evacuation.from_s + EVACUATION_DELAY_S
-            is_late = due_s < line.at_s < evacuation.to_s
-            if is_late and evacuation.data_centre == centre:
+            is_inside = evacuation.data_centre == centre
+            if is_inside and evacuation.is_due(line.at_s):
                 evacuation.late_flows.append(line)
 
 
@@ -145,6 +160,7 @@
         f'{evacuation.to_s - start_s:.3f}' if lasts else '-',
         f'{evacuation.last_known_s - evacuation.from_s:.3f}',
         evacuation.last_node,
+        str(len(evacuation.unaware_nodes)),
         str(len(evacuation.late_flows)),
     ]
 
@@ -155,4 +171,8 @@
         for line in evacuation.late_flows
     ]
     columns = dict(zip(HEADERS, _row_of(evacuation, start_s), strict=True))
-    return {**columns, 'late flows': late_flows}
+    return {
+        **columns,
+        'unaware balancers': sorted(evacuation.unaware_nodes),
+        'late flows': late_flows,
+    }
--- a/features/evacuation_log.feature
+++ b/features/evacuation_log.feature
@@ -36,12 +36,25 @@
     And evacuation 2 is of hel-a, revision 19, from 40 s to the end
     And evacuations 1 and 2 have no late flows
 
+  # Guards against a table on which a balancer that never heard looks like one that
+  # knew at once.
+  Scenario: A balancer that opens flows without having heard is unaware
+    Given logs of balancers front-1, front-2 and of an agent in hel-a
+    And front-1 takes hel-a for evacuated at 10 s, of revision 12
+    And front-1 sends a SYN at 15.5 s
+    And front-2 sends a SYN at 14.5 s
+    When the evacuations in the logs are examined
+    Then evacuation 1 has no unaware balancer
+    Given front-2 sends a SYN at 15.5 s
+    When the evacuations in the logs are examined
+    Then front-2 is unaware of evacuation 1
+
   Scenario: The command prints a line for each evacuation
     Given logs of balancers front-1, front-2 and of an agent in hel-a
     And front-1 takes hel-a for evacuated at 10 s, of revision 12
     And the agent opens a flow at 16 s
     When the command evacuations is given the logs
-    Then it prints the line: hel-a 12 10.000 - 0.000 front-1 1
+    Then it prints the line: hel-a 12 10.000 - 0.000 front-1 0 1
 
   Scenario: The command needs a log
     Given logs of balancers front-1, front-2 and of an agent in hel-a
--- a/features/steps/evacuation_log_steps.py
+++ b/features/steps/evacuation_log_steps.py
@@ -57,6 +57,11 @@
         context.events.append(event_of(at_s, AGENT, 'flow-opened'))
 
 
+@given('{node} sends a SYN at {at_s:g} s')
+def step_sends(context, node, at_s):
+    context.events.append(event_of(at_s, node, 'open-sent'))
+
+
 def _seconds_of(times):
     """Returns the times in a text such as ``9 s, at 14.5 s and at 16 s``."""
     words = times.replace(',', ' ').split()
@@ -115,6 +120,16 @@
     assert not any(found.late_flows for found in context.found)
 
 
+@then('evacuation {place:d} has no unaware balancer')
+def step_aware(context, place):
+    assert not context.found[place - 1].unaware_nodes
+
+
+@then('{node} is unaware of evacuation {place:d}')
+def step_unaware(context, node, place):
+    assert context.found[place - 1].unaware_nodes == {node}
+
+
 @then('it prints the line: {line}')
 def step_prints(context, line):
     lines = [text.split() for text in context.printed.out.splitlines()]
