Soak: a target is started once, and failures of the driver are broken promises

Seen: printed 'Address already in use' from start_target and reported 0 promises broken. Trace: a crash of a target that was draining; the drain's end started it again, then the crash's end did, which failed at the bind after it had already changed incarnation, sequence and start time.

Change: a target that runs is not started again; an exception in a handler of the driver is the broken promise 'driver', since the loop prints it and goes on.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -22,6 +22,13 @@
     Then no promise was broken
     And it opened 100 flows or more
 
+  # Guards against a harness that fails, and mixes up the incarnations of a target,
+  # when a crash and a drain of it overlap.
+  Scenario: A target that is ended by two faults is started again once
+    Given a ledger of the soak
+    When two faults end the target, and both start it again
+    Then the target runs, in its second incarnation
+
   Scenario Outline: The soak detects each broken promise
     Given a ledger of the soak
     When <what>
@@ -35,3 +42,4 @@
       | a flow does not open after the time to recover           | recover  |
       | a draining target receives a SYN after the time to drain | drain    |
       | a target receives a SYN after the time to evacuate       | evacuate |
+      | a handler of the soak itself fails                       | driver   |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -7,9 +7,11 @@
 from socket import inet_aton
 
 from behave import given, then, when
+from circuits import Component, Event, handler
 
 from cumindrift.platform.packet import build_reset
 from lab.soak.client import ClientFlow, SoakClient
+from lab.soak.failure import FailureRecorder
 from lab.soak.promise import Ledger
 from lab.soak.target import SoakTarget
 from lab.soak.wire import ACK, SYN, make_packet
@@ -151,3 +153,38 @@
     """Returns a target's response packet."""
     client = (inet_aton(CLIENT_IP), PORT)
     return make_packet(client, ACK, 1, 1, body, is_answer=True)
+
+
+@when('two faults end the target, and both start it again')
+def step_two_faults(context):
+    context.target.crash()
+    context.target.crash()
+    context.target.start_target()
+    context.target.start_target()
+
+
+@then('the target runs, in its second incarnation')
+def step_second(context):
+    assert context.target.is_running
+    assert context.target.incarnation == 2, context.target.incarnation
+
+
+class failing_step(Event):  # noqa: N801 - circuits derives event names
+    """Fired at a component whose handler fails."""
+
+
+class FailingPart(Component):
+    """A part of the soak whose handler fails."""
+
+    @handler('failing_step')
+    def _on_step(self):
+        raise OSError('address in use')
+
+
+@when('a handler of the soak itself fails')
+def step_driver(context):
+    root = FailingPart()
+    FailureRecorder(context.ledger, lambda: context.now_s).register(root)
+    root.fire(failing_step())
+    for _ in range(4):
+        root.flush()
--- a/lab/soak/harness.py
+++ b/lab/soak/harness.py
@@ -12,6 +12,7 @@
 from lab.soak.client import SoakClient
 from lab.soak.cluster import Cluster
 from lab.soak.fabric import Fabric
+from lab.soak.failure import FailureRecorder
 from lab.soak.fault import faults
 from lab.soak.promise import Ledger
 from lab.soak.proxy import StoreProxy
@@ -53,6 +54,7 @@
         self._is_fault_phase_over = False
         self._version = 1
         self._evacuated: set[str] = set()
+        FailureRecorder(self.ledger, self.clock).register(self)
         self.store = StoreModel(self.clock, Random(seed + 1))
         self.put_manifest(SERVICES[0])
         HttpServer(self, topology.store, (store_routes,), self.clock).register(
--- a/lab/soak/target.py
+++ b/lab/soak/target.py
@@ -80,15 +80,17 @@
         self._random = random
         self._ledger = ledger
         self._clock = clock
-        self._incarnation = 0
+        self.incarnation = 0
         self._next_heartbeat_s = 0.0
         self._port: DatagramPort | None = None
         self._listener: socket | None = None
         self.start_target()
 
     def start_target(self) -> None:
-        """Starts a new incarnation without any flows."""
-        self._incarnation += 1
+        """Starts a new incarnation without any flows, unless one runs."""
+        if self.is_running:
+            return
+        self.incarnation += 1
         self._sequence = 0
         self._started_ms = int((time() + self.clock_step_s) * _MS_PER_S)
         self.is_running = True
@@ -128,7 +130,7 @@
     def _send_heartbeat(self) -> None:
         self._sequence += 1
         is_draining = self.is_draining
-        incarnation = self._incarnation
+        incarnation = self.incarnation
         body = {
             'service': self.service,
             'address': f'{self.ip}:{TARGET_PORT}',
@@ -143,7 +145,7 @@
 
         def on_end(answer: HttpClientResponse | None, _was_sent: bool) -> None:
             is_taken = answer is not None and answer.status == STATUS_OK
-            if is_taken and incarnation == self._incarnation:
+            if is_taken and incarnation == self.incarnation:
                 self.last_ack_s = self._clock()
                 if is_draining and not self.drained_s:
                     self.drained_s = self.last_ack_s
