--- a/cumindrift/tool/evacuations.py
+++ b/cumindrift/tool/evacuations.py
@@ -4,7 +4,7 @@
 from math import inf
 from typing import Any
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from cumindrift.code import ResultCode
 from cumindrift.fleet.settings import NodeBounds
@@ -124,10 +124,14 @@
 
 
 def find_evacuations(events: Iterable[dict[str, Any]]) -> list[Evacuation]:
-    """Returns the evacuations in the events of all nodes."""
+    """Returns the evacuations in the events of all nodes.
+
+    Their times are in seconds since the first event.
+    """
+    lines = merge_logs(events)
     reader = EvacuationReader()
-    for line in merge_logs(events):
-        reader.on_line(line)
+    for line in lines:
+        reader.on_line(evolve(line, at_s=line.at_s - lines[0].at_s))
     return reader.evacuations
 
 
@@ -145,19 +149,18 @@
     evacuations = find_evacuations(found.content)
     if not evacuations:
         return NotRun(ResultCode.BAD_COMMAND, 'no evacuation in the logs')
-    start_s = min(line.at_s for line in merge_logs(found.content))
-    rows = [_row_of(evacuation, start_s) for evacuation in evacuations]
-    data = [_data_of(evacuation, start_s) for evacuation in evacuations]
+    data = [_data_of(evacuation) for evacuation in evacuations]
+    rows = [_row_of(evacuation) for evacuation in evacuations]
     return Done(Report(data, format_table(rows, list(HEADERS))))
 
 
-def _row_of(evacuation: Evacuation, start_s: float) -> list[str]:
-    lasts = evacuation.to_s < inf
+def _row_of(evacuation: Evacuation) -> list[str]:
+    is_over = evacuation.to_s < inf
     return [
         evacuation.data_centre,
         str(evacuation.revision),
-        f'{evacuation.from_s - start_s:.3f}',
-        f'{evacuation.to_s - start_s:.3f}' if lasts else '-',
+        f'{evacuation.from_s:.3f}',
+        f'{evacuation.to_s:.3f}' if is_over else '-',
         f'{evacuation.last_known_s - evacuation.from_s:.3f}',
         evacuation.last_node,
         str(len(evacuation.unaware_nodes)),
@@ -165,14 +168,18 @@
     ]
 
 
-def _data_of(evacuation: Evacuation, start_s: float) -> dict[str, Any]:
-    late_flows = [
-        {'at_s': line.at_s - start_s, 'node': line.node, **line.fields}
-        for line in evacuation.late_flows
-    ]
-    columns = dict(zip(HEADERS, _row_of(evacuation, start_s), strict=True))
+def _data_of(evacuation: Evacuation) -> dict[str, Any]:
+    is_over = evacuation.to_s < inf
     return {
-        **columns,
-        'unaware balancers': sorted(evacuation.unaware_nodes),
-        'late flows': late_flows,
+        'data_centre': evacuation.data_centre,
+        'revision': evacuation.revision,
+        'from_s': evacuation.from_s,
+        'to_s': evacuation.to_s if is_over else None,
+        'last_known_s': evacuation.last_known_s,
+        'last_balancer': evacuation.last_node,
+        'unaware_balancers': sorted(evacuation.unaware_nodes),
+        'late_flows': [
+            {'at_s': line.at_s, 'node': line.node, **line.fields}
+            for line in evacuation.late_flows
+        ],
     }
--- a/features/evacuation_log.feature
+++ b/features/evacuation_log.feature
@@ -56,6 +56,13 @@
     When the command evacuations is given the logs
     Then it prints the line: hel-a 12 10.000 - 0.000 front-1 0 1
 
+  Scenario: The command lists the late flows for programs
+    Given logs of balancers front-1, front-2 and of an agent in hel-a
+    And front-1 takes hel-a for evacuated at 10 s, of revision 12
+    And the agent opens a flow at 16 s
+    When the command evacuations is given the logs, for programs
+    Then it prints that the evacuation has no end, and one flow late at 16 s
+
   Scenario: The command needs a log
     Given logs of balancers front-1, front-2 and of an agent in hel-a
     When the command evacuations is given nothing
--- a/features/steps/evacuation_log_steps.py
+++ b/features/steps/evacuation_log_steps.py
@@ -79,8 +79,9 @@
     path.write_text('\n'.join(map(json.dumps, context.events)), 'utf-8')
     bench = ToolBench()
     context.add_cleanup(bench.api.stop)
-    logs = str(path) if what == 'the logs' else ''
-    context.printed = bench.run(f'evacuations {logs}')
+    logs = '' if what == 'nothing' else str(path)
+    is_json = what.endswith('for programs')
+    context.printed = bench.run(f'evacuations {logs}', is_json=is_json)
 
 
 @then('{count:d} evacuation is found')
@@ -97,9 +98,7 @@
     found = context.found[place - 1]
     assert (found.data_centre, found.revision) == (name, revision), found
     to_s = inf if until == 'the end' else float(until.removesuffix(' s'))
-    start_s = context.events[0]['time']
-    assert found.from_s - start_s == from_s, found
-    assert found.to_s - start_s == to_s, found
+    assert (found.from_s, found.to_s) == (from_s, to_s), found
 
 
 @then('the last balancer knows of evacuation {place:d} after {delay_s:g} s')
@@ -110,9 +109,8 @@
 
 @then('the late flows of evacuation {place:d} were opened at {times}')
 def step_late(context, place, times):
-    start_s = context.events[0]['time']
     late = context.found[place - 1].late_flows
-    assert [line.at_s - start_s for line in late] == _seconds_of(times), late
+    assert [line.at_s for line in late] == _seconds_of(times), late
 
 
 @then('evacuations 1 and 2 have no late flows')
@@ -139,3 +137,12 @@
 @then('it prints how it is used')
 def step_usage(context):
     assert 'usage' in context.printed.err.lower(), context.printed
+
+
+@then(
+    'it prints that the evacuation has no end, and one flow late at {at_s:g} s'
+)
+def step_prints_json(context, at_s):
+    (evacuation,) = json.loads(context.printed.out)
+    assert evacuation['to_s'] is None, evacuation
+    assert [each['at_s'] for each in evacuation['late_flows']] == [at_s]
