--- a/features/steps/node_life_steps.py
+++ b/features/steps/node_life_steps.py
@@ -153,26 +153,20 @@
     assert low_s <= context.now_s - start_s <= high_s
 
 
-def refuse(_octets):
-    """Behaves like a full pipe."""
-    raise BlockingIOError
+# What a write to the log raises, by what its reader has done.
+WRITE_ERRORS = {
+    'stopped': BlockingIOError,
+    'closed its end': BrokenPipeError,
+}
 
 
-@given('a log whose reader has stopped')
-def step_stopped_reader(context):
-    context.now_s = 0.0
-    context.events = EventLog('side-1', lambda: context.now_s, refuse)
-
-
-def break_pipe(_octets):
-    """Behaves like a pipe whose reader has closed its end."""
-    raise BrokenPipeError
-
+@given('a log whose reader has {done}')
+def step_reader_gone(context, done):
+    def fail(_octets):
+        raise WRITE_ERRORS[done]
 
-@given('a log whose reader has closed its end')
-def step_closed_reader(context):
     context.now_s = 0.0
-    context.events = EventLog('side-1', lambda: context.now_s, break_pipe)
+    context.events = EventLog('side-1', lambda: context.now_s, fail)
 
 
 @given('a log whose lines are read at once')
