--- a/lab/flowrun.py
+++ b/lab/flowrun.py
@@ -19,13 +19,13 @@
 from cumindrift.membership.member import MemberState
 from cumindrift.traffic.action import Deliver, Drop, Refuse
 from cumindrift.traffic.packet import peek_flow_key, tcp_packet, udp_packet
+from lab.flowagent import SimulatedAgent
 from lab.flowchange import changes
 from lab.flowworld import (
     DATA_CENTRES,
     SERVICES,
     VIEW_DELAY_MAX_S,
     FlowSimulation,
-    SimulatedAgent,
 )
 from lab.network import VirtualNetwork
 
