--- a/features/soak.feature
+++ b/features/soak.feature
@@ -22,6 +22,13 @@
     Then no promise was broken
     And it opened 100 flows or more
 
+  # Guards against new flows to an evacuated data centre while the lists by which
+  # balancers check their watches are old.
+  Scenario: An evacuation takes effect although checks get old lists
+    When the soak runs seed 43 with 11 s of the fault lag
+    Then no promise was broken
+    And it opened 100 flows or more
+
   # Guards against a harness that fails, and mixes up the incarnations of a target,
   # when a crash and a drain of it overlap.
   Scenario: A target that is ended by two faults is started again once
--- a/features/steps/store_standin_steps.py
+++ b/features/steps/store_standin_steps.py
@@ -148,3 +148,23 @@
 @then('fewer than {count:d} calls were answered')
 def step_fewer(context, count):
     assert len(context.store.answers) < count
+
+
+@when('lists that may be stale are {age_s:g} s old')
+def step_stale(context, age_s):
+    context.store.model.stale_s = age_s
+
+
+@when('a list that {what} stale is called')
+def step_list(context, what):
+    query = '?serializable=1' if what == 'may be' else ''
+    context.store.call('GET', query=query)
+
+
+@then('it answers 200 with the objects {names} as of {revision:d}')
+def step_objects(context, names, revision):
+    answer = context.store.answers[-1]
+    body = json.loads(answer.body)
+    found = [each['meta']['name'] for each in body['items']]
+    assert found == names.split(', '), body
+    assert body['as_of'] == revision, body
--- a/features/store_standin.feature
+++ b/features/store_standin.feature
@@ -63,3 +63,17 @@
     And 5 s pass at the store
     Then the store has 20 objects
     And fewer than 20 calls were answered
+
+  Scenario: Lists that may be stale are as old as they are set to be
+    Given a store stand-in
+    When POST side-1 is called with content one
+    And 4 s pass at the store
+    And POST side-2 is called with content one
+    And lists that may be stale are 3 s old
+    And a list that may be stale is called
+    Then it answers 200 with the objects side-1 as of 2
+    When a list that is not stale is called
+    Then it answers 200 with the objects side-1, side-2 as of 3
+    When 3 s pass at the store
+    And a list that may be stale is called
+    Then it answers 200 with the objects side-1, side-2 as of 3
--- a/lab/soak/fault.py
+++ b/lab/soak/fault.py
@@ -11,6 +11,8 @@
 
 # Long enough for SYNs after the time in which an evacuation takes effect.
 OUTDATED_S = EVACUATE_S + 4.0
+# How old lists that may be stale are while they lag.
+LAG_MIN_S, LAG_MAX_S = EVACUATE_S + 1.0, EVACUATE_S + 3.0
 
 # A fault takes the harness and its random generator and starts. It returns
 # pairs of a delay in seconds and the function that then ends it, or no pairs
@@ -204,6 +206,23 @@
     return ((OUTDATED_S, lambda: harness.end_evacuation(name)),)
 
 
+@faults.register('lag')
+def lag_lists(harness: Any, random: Random) -> ScheduledEnds:
+    """Loses the watches likewise, while lists that may be stale are old.
+
+    What a balancer lists is then older than the evacuation for longer than
+    the evacuation may take.
+    """
+    if harness.is_evacuating:
+        return ()
+    harness.store.stale_s = random.uniform(LAG_MIN_S, LAG_MAX_S)
+
+    def restore() -> None:
+        harness.store.stale_s = 0.0
+
+    return (*mute_watches(harness, random), (OUTDATED_S, restore))
+
+
 @faults.register('loss')
 def lose_packets(harness: Any, random: Random) -> ScheduledEnds:
     """Drops some packets between clients and balancers."""
--- a/standin/store.py
+++ b/standin/store.py
@@ -15,6 +15,7 @@
     HttpResponse,
 )
 from cumindrift.registry import Registry
+from standin.store_past import StorePast, StoreState
 
 PAGE_ITEMS_MAX = 500
 HISTORY_EVENTS_MAX = 4096
@@ -44,12 +45,14 @@
 class StoreModel:
     """Objects of all kinds under one revision counter; time is passed in.
 
-    `mode` selects the fault: well (none), down, busy, slow or lossy.
+    `mode` selects the fault: well (none), down, busy, slow or lossy. Lists
+    that may be stale are `stale_s` old.
     """
 
     clock: Callable[[], float]
     random: Random
     mode: str = 'well'
+    stale_s: float = 0.0
     revision: int = 1
     call_count: int = 0
     objects: dict[str, dict[str, dict[str, Any]]] = field(factory=dict)
@@ -60,6 +63,12 @@
     _compacted_revision: int = 0
     # The revision of the last change of each kind.
     _last_revisions: dict[str, int] = field(factory=dict)
+    _past: StorePast = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Records the empty store."""
+        self._past = StorePast(self.clock)
+        self._past.record(self.revision, self.objects)
 
     def serve(self, request: HttpRequest) -> HttpResponse | DeferredResponse:
         """Answers one call according to the current mode."""
@@ -129,6 +138,7 @@
     def _publish(self, kind: str, event: dict[str, Any]) -> None:
         self._history.append((self.revision, kind, event))
         self._last_revisions[kind] = self.revision
+        self._past.record(self.revision, self.objects)
         for watch in list(self._watches):
             if watch.kind == kind and self.mode == 'well':
                 self._watches.remove(watch)
@@ -162,7 +172,9 @@
         self._watches.append(watch)
 
     def _read(self, request: HttpRequest, kind: str, name: str) -> HttpResponse:
-        objects = self.objects.get(kind, {})
+        may_be_stale = bool(request.query_number('serializable'))
+        state = self._state_of(self.stale_s if may_be_stale else 0.0)
+        objects = state.objects.get(kind, {})
         if name:
             found = objects.get(name)
             if found is None:
@@ -175,10 +187,15 @@
         body = {
             'items': [objects[each] for each in page],
             'has_more': len(page) < len(rest),
-            'as_of': self.revision,
+            'as_of': state.revision,
         }
         return HttpResponse.of_json(STATUS_OK, body)
 
+    def _state_of(self, age_s: float) -> StoreState:
+        if age_s:
+            return self._past.state_before(age_s)
+        return StoreState(self.clock(), self.revision, self.objects)
+
     def _write(
         self, request: HttpRequest, kind: str, name: str
     ) -> HttpResponse:
