--- a/lab/soak/fault.py
+++ b/lab/soak/fault.py
@@ -208,10 +208,10 @@
 
 @faults.register('lag')
 def lag_lists(harness: Any, random: Random) -> ScheduledEnds:
-    """Loses the watches likewise, while lists that may be stale are old.
+    """Does the same as `mute` while lists that may be stale are old.
 
-    What a balancer lists is then older than the evacuation for longer than
-    the evacuation may take.
+    Such a list lacks the evacuation for longer than that may take to be in
+    force.
     """
     if harness.is_evacuating:
         return ()
