Review, case 2: changes of the manifest go unheard after a short silence

Cause: balancers renew their watch of the manifest 0.3 s after a change. A watch that a silent store has taken and never answers looks like one without news for up to 27 s; the check for such watches lists the evacuations only.

The case has the store silent for about 0.2 s just then. The next change, six seconds later, is heard by no balancer, and requests are handled by the version before it for more than config_apply_ms.

--- a/review/rig.py
+++ b/review/rig.py
@@ -149,6 +149,9 @@
         # later; their connections stay open.
         self.is_silent = False
         self.unanswered = []
+        # Watches that were open when channels went silent for good.
+        self.open_watches = set()
+        self.muted = set()
         # How old lists are that may be stale (`serializable`).
         self.stale_s = 0.0
         self.past = [(time.monotonic(), self.revision, {})]
@@ -197,6 +200,9 @@
                 )
                 return
             status, answer = await self._answer(line, body)
+            if asyncio.current_task() in self.muted:
+                self.unanswered.append((reader, writer))
+                return
             octets = json.dumps(answer).encode()
             writer.write(
                 f'HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n'
@@ -252,7 +258,20 @@
             self.rig.note('store-creates', kind=kind, name=name)
         return 200, self.put(kind, name, sent.get('spec'))
 
+    def mute_channels(self):
+        """All open channels go silent for good, without a reset."""
+        self.muted |= self.open_watches
+        self.rig.note('channels-silent', count=len(self.open_watches))
+
     async def _watch(self, kind, query):
+        task = asyncio.current_task()
+        self.open_watches.add(task)
+        try:
+            return await self._wait_for_events(kind, query)
+        finally:
+            self.open_watches.discard(task)
+
+    async def _wait_for_events(self, kind, query):
         since = int(query['watch'])
         until = time.monotonic() + int(query.get('wait_ms', 30000)) / 1000
         while True:
