--- a/review/rig.py
+++ b/review/rig.py
@@ -18,6 +18,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import zlib
 from pathlib import Path
@@ -38,6 +39,7 @@
 SYN_COPIES_S = (0.2, 0.6)
 OPEN_LIMIT_S = 1.4
 RESTART_S = 0.3
+TIME_LIMIT_S = 115
 MASK = 0xFFFFFFFF
 # Bounds of the users' pages, as in the settings of their small installations.
 BOUNDS = {
@@ -595,6 +597,8 @@
         self.is_stopped = False
 
     def start(self):
+        if self.is_stopped:
+            return
         path = self.rig.folder / f'{self.name}.toml'
         path.write_text(self._settings(), 'utf-8')
         env = {
@@ -800,10 +804,9 @@
             )
 
     def stop(self):
-        for task in self.tasks:
-            task.cancel()
         for node in self.nodes:
             node.is_stopped = True
+        for node in self.nodes:
             if node.process is not None and node.process.poll() is None:
                 node.process.kill()
                 node.process.wait()
@@ -816,24 +819,34 @@
 def run_case(rig, play, wanted):
     """Plays a case; exits 1 if one of the wanted rules broke, 0 if not."""
 
-    async def main():
-        await rig.start()
-        await play()
+    def leave(code):
+        rig.stop()
+        sys.stdout.flush()
+        # At once, without waiting for the tasks and streams still open.
+        os._exit(code)
 
-    code = 2
-    try:
-        asyncio.run(asyncio.wait_for(main(), 110))
+    def give_up():
+        rig.note('could-not-run', error='out of time')
+        leave(2)
+
+    async def main():
+        try:
+            await rig.start()
+            await play()
+        except Exception as error:
+            rig.note('could-not-run', error=repr(error))
+            print(f'could not run: {error!r}')
+            leave(2)
         broken = [each for each in rig.breaches if each[1] in wanted]
-        code = 1 if broken else 0
         rig.note('result', trouble=rig.trouble, broken=len(broken))
         print(f'{len(broken)} breaches of {"/".join(wanted)}')
         for at_s, rule, detail in broken[:5]:
             print(f'{at_s:8.3f} {rule} {detail}')
-    except Exception as error:
-        rig.note('could-not-run', error=repr(error))
-        print(f'could not run: {error!r}')
-    finally:
-        rig.stop()
-    sys.stdout.flush()
-    # Without the destructors of the streams that are still open.
-    os._exit(code)
+        leave(1 if broken else 0)
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: leave(2))
+    timer = threading.Timer(TIME_LIMIT_S, give_up)
+    timer.daemon = True
+    timer.start()
+    asyncio.run(main())
