Logs and metrics: how old the copies of manifest and agents are

A balancer whose watch is lost writes nothing at all, like one without news; only the evacuations' copy had an age.

Change: open-sent has manifest_age_s; /metrics of a balancer has cumindrift_copy_age_seconds for each kind, computed when it is read.

--- a/cumindrift/fleet/balancer_store.py
+++ b/cumindrift/fleet/balancer_store.py
@@ -48,6 +48,8 @@
             context.random,
             batch_delay_s,
         )
+    manifests = context.watchers[MANIFEST_KIND]
+    context.directory.manifest_copy_version = manifests.version
     evacuations = context.watchers[EVACUATION_KIND]
     context.directory.evacuations_version = evacuations.version
     context.copy_check = CopyCheck(
--- a/cumindrift/fleet/directory.py
+++ b/cumindrift/fleet/directory.py
@@ -34,6 +34,7 @@
     agents: dict[str, AgentEntry] = field(factory=dict)
     evacuated: frozenset[str] = frozenset()
     evacuations_version: CopyVersion = field(factory=CopyVersion)
+    manifest_copy_version: CopyVersion = field(factory=CopyVersion)
     # The revision up to which other balancers know the evacuations, while this
     # one is behind them.
     expected_evacuations_as_of: int = NOT_READ
--- a/cumindrift/metric.py
+++ b/cumindrift/metric.py
@@ -210,6 +210,11 @@
     ('service',),
     buckets=_DURATION_BUCKETS_S,
 )
+COPY_AGE = Gauge(
+    'cumindrift_copy_age_seconds',
+    'Time since the store or a peer confirmed the copy of a kind of objects.',
+    ('kind',),
+)
 STORE_CALLS = Counter(
     'cumindrift_store_calls',
     'Calls to the store of the platform, by what they ask and their end.',
--- a/cumindrift/steering/balancer/placer.py
+++ b/cumindrift/steering/balancer/placer.py
@@ -175,14 +175,16 @@
         hint.tried.add(first.ip)
         self.waiting[packet.flow_key] = hint
         load = self.agent_monitor.load_of(first.ip)
-        evacuations = self.state.directory.evacuations_version
+        directory = self.state.directory
+        evacuations = directory.evacuations_version
         self.state.log_decision(
             'open-sent',
             packet.flow_key,
             service=hint.service,
             agent=first.name,
             tried=len(hint.tried),
-            manifest=self.state.directory.manifest.version,
+            manifest=directory.manifest.version,
+            manifest_age_s=directory.manifest_copy_version.age_s(now_s),
             cost=round(load.cost(now_s), 1),
             load_age_s=round(now_s - load.reported_s, 3),
             waited_s=round(now_s - hint.first_sent_s, 3),
--- a/cumindrift/steering/page.py
+++ b/cumindrift/steering/page.py
@@ -7,6 +7,7 @@
 from cumindrift.administration.routing import HttpRequest, HttpResponse, Route
 from cumindrift.fleet.context import NodeContext
 from cumindrift.fleet.settings import METRICS_PORT
+from cumindrift.metric import COPY_AGE
 from cumindrift.registry import Registry
 
 STATUS_OK = 200
@@ -26,4 +27,7 @@
     """Answers with all metrics; the renderer is imported on first use."""
     from cumindrift.exposition import CONTENT_TYPE, render_metrics  # noqa: PLC0415, WPS433
 
+    now_s = context.clock()
+    for kind, watcher in context.watchers.items():
+        COPY_AGE.labels(kind).set(watcher.version.age_s(now_s))
     return HttpResponse(STATUS_OK, render_metrics(), CONTENT_TYPE)
--- a/features/node_copy_check.feature
+++ b/features/node_copy_check.feature
@@ -87,3 +87,16 @@
     Given a balancer that watches the evacuations, as of 40
     When its watch finds van-c evacuated, of revision 42, and hel-a, of 43
     Then it logs the evacuations of hel-a, van-c, of revisions 43, 42
+
+  # Guards against metrics that cannot tell a copy without news from one that
+  # nobody has confirmed for long.
+  Scenario Outline: Metrics tell how old a copy is
+    Given a balancer that watches the <kind>, as of 40
+    When 4 s goes by without a response to the watch
+    Then its metrics say that its copy of the <kind> is 4 s old
+
+    Examples:
+      | kind        |
+      | manifest    |
+      | agents      |
+      | evacuations |
--- a/features/node_evacuation.feature
+++ b/features/node_evacuation.feature
@@ -98,6 +98,12 @@
     When the client sends a SYN
     Then the log line open-sent has evacuations 27 and evacuations_age_s 4.0
 
+  Scenario: The log names the age of the manifest that a SYN was placed by
+    Given a balancer that knows 3 agents
+    And its manifest was confirmed 5 s ago
+    When the client sends a SYN
+    Then the log line open-sent has manifest_age_s 5.0
+
   Scenario: An agent reports the newest change of the evacuations it has heard of
     Given an agent whose target serves
     When a frame names the evacuations as of 30, changed as of 27
--- a/features/steps/node_copy_check_steps.py
+++ b/features/steps/node_copy_check_steps.py
@@ -2,26 +2,36 @@
 
 from behave import given, then, when
 
+from cumindrift.administration.routing import HttpRequest
 from cumindrift.fleet.balancer_store import check_period_s
 from cumindrift.fleet.call import AnswerTag, CallVerb, StoreItem
-from cumindrift.platform.documents import EVACUATION_KIND
+from cumindrift.fleet.kind import AGENT_KIND
+from cumindrift.platform.documents import EVACUATION_KIND, MANIFEST_KIND
 from cumindrift.platform.node_file import read_node_file
+from cumindrift.steering.page import show_metrics
 from features.builders.core import logged_lines
 from features.builders.node import node_file
 from features.builders.node_store import LinkBench, make_context
 
+# Kinds of store objects, by their names in scenarios.
+KINDS = {
+    'evacuations': EVACUATION_KIND,
+    'manifest': MANIFEST_KIND,
+    'agents': AGENT_KIND,
+}
 
-@given('a balancer that lists the evacuations')
-def step_lists(context):
+
+@given('a balancer that lists the {kind}')
+def step_lists(context, kind):
     context.bench = LinkBench()
-    context.watcher = context.bench.node.watchers[EVACUATION_KIND]
+    context.watcher = context.bench.node.watchers[KINDS[kind]]
     context.check = context.bench.node.copy_check
     context.bench.start_due(context.watcher)
 
 
-@given('a balancer that watches the evacuations, as of {as_of:d}')
-def step_watches(context, as_of):
-    step_lists(context)
+@given('a balancer that watches the {kind}, as of {as_of:d}')
+def step_watches(context, kind, as_of):
+    step_lists(context, kind)
     context.bench.end_call(context.watcher, AnswerTag.DONE, as_of=as_of)
     context.bench.start_due(context.watcher)
 
@@ -92,7 +102,7 @@
 def step_balancers(context, count):
     context.waits_s = []
     for _ in range(count):
-        step_lists(context)
+        step_lists(context, 'evacuations')
         context.bench.end_call(context.watcher, AnswerTag.DONE, as_of=40)
         context.waits_s.append(context.bench.start_due(context.watcher).wait_s)
 
@@ -113,6 +123,14 @@
     assert line['kinds'] == [EVACUATION_KIND], line
 
 
+@then('its metrics say that its copy of the {kind} is {age_s:d} s old')
+def step_metrics(context, kind, age_s):
+    request = HttpRequest('GET', '/metrics', {})
+    page = show_metrics(context.bench.node, request).body.decode()
+    expected = f'cumindrift_copy_age_seconds{{kind="{KINDS[kind]}"}} {age_s}.0'
+    assert expected in page, page
+
+
 @given('a node file in which the bound {name} is {milliseconds:d}')
 def step_bound(context, name, milliseconds):
     text = node_file()
--- a/features/steps/node_evacuation_steps.py
+++ b/features/steps/node_evacuation_steps.py
@@ -79,6 +79,19 @@
     assert found == (as_of, age_s), line
 
 
+@given('its manifest was confirmed {age_s:g} s ago')
+def step_manifest_version(context, age_s):
+    bench = context.bench
+    version = bench.directory.manifest_copy_version
+    version.confirm(27, 27, bench.now_s - age_s)
+
+
+@then('the log line {event} has manifest_age_s {age_s:g}')
+def step_log_manifest_age(context, event, age_s):
+    line = logged_lines(context.bench.events, event)[-1]
+    assert line['manifest_age_s'] == age_s, line
+
+
 @when(
     'a frame names the evacuations as of {as_of:d}, '
     'changed as of {changed_as_of:d}'
