A balancer notices that the watch of the manifest has been lost

Cause: a balancer believes that its manifest is current as long as its watch does not speak. A store that is silent for 0.2 s takes the request of a watch and never answers it, on a connection that stays alive; that watch looks like one without news until its own timeout, 20 to 27 s. The check that was made for this asked about evacuations only. Peers' news did not help, since all balancers renew their watches 0.3 s after a change and lose them together.

Change: each kind has a plan by which its watch is checked. The manifest's reads what has changed after the copy's revision (a watch that does not wait, so a large manifest costs nothing while it stays), never stale, within three fifths of the time in which a manifest has to be in force. A change that it finds is applied and all watches are restarted; if the store has dropped the history, the kind is listed. The store stand-in answers watches without a wait at once, and stale ones by its past.

Why it works: the belief now has an age that is bounded by a call with a short timeout, whatever became of the watch, and whatever the other balancers know.

--- a/cumindrift/fleet/balancer_store.py
+++ b/cumindrift/fleet/balancer_store.py
@@ -1,17 +1,17 @@
 """What a balancer watches in the store, and how it applies changes."""
 
-from functools import partial
 from ipaddress import IPv4Address
 from typing import Any
 
 from cumindrift.code import ResultCode
 from cumindrift.fleet.context import NodeContext
-from cumindrift.fleet.copy_check import CopyCheck
 from cumindrift.fleet.directory import AgentEntry, Directory
 from cumindrift.fleet.kind import AGENT_KIND, RECORD_KIND, log_unreadable
 from cumindrift.fleet.peer_reader import PeerReader
 from cumindrift.fleet.remover import Remover
-from cumindrift.fleet.watcher import KindWatcher, Objects
+from cumindrift.fleet.settings import NodeBounds
+from cumindrift.fleet.watched_kind import CheckPlan, watch_kinds, watches
+from cumindrift.fleet.watcher import Objects
 from cumindrift.outcome import Refused
 from cumindrift.platform.documents import (
     EVACUATION_KIND,
@@ -23,12 +23,22 @@
 
 MANIFEST_BATCH_DELAY_S = 0.3
 AGENT_BATCH_DELAY_S = 0.5
-# The part of the time to apply an evacuation after which watches are checked;
+# The part of the time to apply an evacuation after which its watch is checked;
 # the rest is for a list that is some seconds old.
-CHECK_SHARE = 0.4
-# Least time between lists that are requested outside the watch, for example
-# to prove that a flow has no holder.
-FULL_LIST_PERIOD_S = 1.0
+EVACUATION_CHECK_SHARE = 0.4
+# The same for a manifest, whose checks are never stale; the rest is for a call
+# that has to be repeated.
+MANIFEST_CHECK_SHARE = 0.6
+
+
+def evacuation_check_s(bounds: NodeBounds) -> float:
+    """Returns the longest time between two checks of the evacuations."""
+    return bounds.evacuation_delay_s * EVACUATION_CHECK_SHARE
+
+
+def manifest_check_s(bounds: NodeBounds) -> float:
+    """Returns the longest time between two checks of the manifest."""
+    return bounds.manifest_delay_s * MANIFEST_CHECK_SHARE
 
 
 def watch_store(context: NodeContext) -> None:
@@ -37,41 +47,13 @@
     context.fleet_children.append(
         ChildSpec('peer-reader', lambda: PeerReader(context)),
     )
-    for kind, apply, batch_delay_s in (
-        (MANIFEST_KIND, apply_manifest, MANIFEST_BATCH_DELAY_S),
-        (AGENT_KIND, apply_agents, AGENT_BATCH_DELAY_S),
-        (EVACUATION_KIND, apply_evacuations, 0.0),
-    ):
-        context.watchers[kind] = KindWatcher(
-            kind,
-            partial(apply, context),
-            context.random,
-            batch_delay_s,
-        )
-    manifests = context.watchers[MANIFEST_KIND]
-    context.directory.manifest_copy_version = manifests.version
-    evacuations = context.watchers[EVACUATION_KIND]
-    context.directory.evacuations_version = evacuations.version
-    context.copy_check = CopyCheck(
-        evacuations,
-        partial(check_period_s, context),
-        partial(restart_watches, context),
-        context.random,
-    )
+    watch_kinds(context)
+    directory = context.directory
+    directory.manifest_copy_version = context.watchers[MANIFEST_KIND].version
+    directory.evacuations_version = context.watchers[EVACUATION_KIND].version
     context.remover = Remover()
 
 
-def check_period_s(context: NodeContext) -> float:
-    """Returns the longest time between two checks of the watches."""
-    return context.settings.bounds.evacuation_delay_s * CHECK_SHARE
-
-
-def restart_watches(context: NodeContext) -> None:
-    """Starts all watches again, since one of them has missed a change."""
-    if context.link is not None:
-        context.link.restart_watches('change missed')
-
-
 def remove_agent(context: NodeContext, name: str) -> None:
     """Removes the entry and flow record of an agent that has ended."""
     item = context.watchers[AGENT_KIND].objects.get(name)
@@ -80,18 +62,11 @@
         context.remover.remove(RECORD_KIND, name, 0)
 
 
-def request_full_list(context: NodeContext, kind: str) -> None:
-    """Lists a kind again instead of watching, at most once per period."""
-    watcher = context.watchers[kind]
-    listed_ago_s = context.clock() - watcher.version.listed_s
-    is_recent = listed_ago_s < FULL_LIST_PERIOD_S
-    if is_recent or not watcher.is_watching or context.link is None:
-        return
-    context.link.cancel_call(watcher)
-    watcher.list_again()
-    context.link.run_due()
-
-
+@watches(
+    MANIFEST_KIND,
+    batch_delay_s=MANIFEST_BATCH_DELAY_S,
+    check=CheckPlan('changes', manifest_check_s, accepts_stale=False),
+)
 def apply_manifest(context: NodeContext, objects: Objects) -> None:
     """Applies the manifest unless a newer one is in force."""
     item = objects.get(MANIFEST_NAME)
@@ -113,6 +88,7 @@
         )
 
 
+@watches(AGENT_KIND, batch_delay_s=AGENT_BATCH_DELAY_S, check=None)
 def apply_agents(context: NodeContext, objects: Objects) -> None:
     """Applies the entries of all agents; unreadable ones are left out."""
     agents = {}
@@ -129,6 +105,11 @@
             _log_agent(context, name, agents.get(name))
 
 
+@watches(
+    EVACUATION_KIND,
+    batch_delay_s=0.0,
+    check=CheckPlan('list', evacuation_check_s),
+)
 def apply_evacuations(context: NodeContext, objects: Objects) -> None:
     """Applies the names of the data centres that get no new flows."""
     data_centres = frozenset(objects)
--- a/cumindrift/fleet/call.py
+++ b/cumindrift/fleet/call.py
@@ -12,6 +12,8 @@
 
     LIST = 'list'
     WATCH = 'watch'
+    # What a watch would report at once; answered even if that is nothing.
+    CHANGES = 'changes'
     READ = 'read'
     CREATE = 'create'
     REPLACE = 'replace'
@@ -22,7 +24,7 @@
 class StoreCall:
     """One call to the store.
 
-    `revision` is the revision from which a watch continues, or which a write
+    `revision` is the revision after which changes are wanted, or which a write
     requires (0 for none). `wait_s` is the longest time that a watch waits.
     `after` is the last name of the previous page of a list.
     """
--- a/cumindrift/fleet/context.py
+++ b/cumindrift/fleet/context.py
@@ -36,11 +36,11 @@
     started_ms: int = field(factory=lambda: int(time() * _MS_PER_S))
     events: EventLog = field(init=False)
     health: StoreHealth = field(init=False)
-    # A balancer has directory, watchers, copy check and remover; an agent has
+    # A balancer has directory, watchers, copy checks and remover; an agent has
     # announcer and recorder.
     directory: 'Directory | None' = None
     watchers: 'dict[str, KindWatcher]' = field(factory=dict)
-    copy_check: 'CopyCheck | None' = None
+    copy_checks: 'dict[str, CopyCheck]' = field(factory=dict)
     remover: 'Remover | None' = None
     announcer: 'Announcer | None' = None
     recorder: 'FlowRecorder | None' = None
@@ -72,8 +72,12 @@
     @property
     def sources(self) -> tuple[CallSource, ...]:
         """Returns everything that makes calls to the store."""
-        own = (self.announcer, self.recorder, self.copy_check, self.remover)
-        return (*self.watchers.values(), *filter(None, own))
+        own = (self.announcer, self.recorder, self.remover)
+        return (
+            *self.watchers.values(),
+            *self.copy_checks.values(),
+            *filter(None, own),
+        )
 
     @property
     def needs_peers(self) -> bool:
--- a/cumindrift/fleet/copy_check.py
+++ b/cumindrift/fleet/copy_check.py
@@ -6,34 +6,39 @@
 from attrs import define
 
 from cumindrift.fleet.backoff import backoff_s
-from cumindrift.fleet.call import AnswerTag, CallVerb, StoreAnswer, StoreCall
-from cumindrift.fleet.watcher import KindWatcher, index_by_name
+from cumindrift.fleet.call import AnswerTag, StoreAnswer, StoreCall
+from cumindrift.fleet.check_method import CheckMethod
+from cumindrift.fleet.watcher import KindWatcher
 
 
 @define(slots=True, eq=False, repr=False)
 class CopyCheck:
-    """Lists a watched kind from time to time and compares it with the copy.
+    """Asks the store from time to time whether a copy lacks a change.
 
     A store that is silent may take the request of a watch and never answer it,
     on a connection that stays alive. Such a watch looks like one that has
-    nothing to report; a list ends within the short timeout of a call. Run by
+    nothing to report; a check ends within the short timeout of a call. Run by
     a balancer's store link, so failed checks also tell that the store is
     unreachable, and their success that it is back.
 
-    The list may be seconds old, which makes it cheap for the store, but not
-    after a check that has shown nothing: one that failed, or whose list was
-    older than the copy.
+    The answer may be seconds old if `accepts_stale`, which makes it cheap for
+    the store, but not after a check that has shown nothing: one that failed,
+    or whose answer was older than the copy.
     """
 
     watcher: KindWatcher
+    method: CheckMethod
     # Returns the longest time between two checks.
     period_s: Callable[[], float]
     # Called when the copy lacked a change that its watch should have reported.
     on_missed: Callable[[], None]
+    # Called when the store has dropped the history after the copy.
+    on_history_gone: Callable[[], None]
     random: Random
+    accepts_stale: bool = True
     failure_count: int = 0
     _due_s: float = 0.0
-    _is_running: bool = False
+    _call: StoreCall | None = None
 
     @property
     def kind(self) -> str:
@@ -46,25 +51,34 @@
         While the watcher itself lists or pauses, there is nothing to check.
         """
         is_due = now_s >= self._due_s and self.watcher.is_watching
-        if self._is_running or not is_due:
+        if self._call is not None or not is_due:
             return None
-        self._is_running = True
-        may_be_stale = self.failure_count == 0
-        return StoreCall(CallVerb.LIST, self.kind, may_be_stale=may_be_stale)
+        may_be_stale = self.accepts_stale and self.failure_count == 0
+        self._call = self.method.build_call(
+            self.watcher, may_be_stale=may_be_stale
+        )
+        return self._call
 
     def on_answer(self, answer: StoreAnswer, now_s: float) -> None:
         """Handles the result of the last check."""
-        self._is_running = False
-        is_older = answer.as_of < self.watcher.version.as_of
-        if is_older or answer.tag is not AnswerTag.DONE:
+        call = self._call
+        self._call = None
+        if self._has_failed(answer):
             self.failure_count += 1
             self._due_s = now_s + backoff_s(self.failure_count, self.random)
             return
         self.failure_count = 0
         self._due_s = now_s + self.period_s() * (1 + self.random.random()) / 2
-        if answer.has_more or not self.watcher.is_watching:
-            # A part of a list cannot be compared.
+        if not self.watcher.is_watching:
             return
-        objects = index_by_name(answer.items)
-        if self.watcher.compare(objects, answer.as_of, now_s):
+        if answer.tag is AnswerTag.HISTORY_GONE:
+            self.on_history_gone()
+        elif self.method.catch_up(self.watcher, call, answer, now_s):
             self.on_missed()
+
+    def _has_failed(self, answer: StoreAnswer) -> bool:
+        """Tells whether an answer shows nothing about the copy."""
+        if answer.tag is AnswerTag.HISTORY_GONE:
+            return False
+        is_older = answer.as_of < self.watcher.version.as_of
+        return is_older or answer.tag is not AnswerTag.DONE
--- a/cumindrift/fleet/link.py
+++ b/cumindrift/fleet/link.py
@@ -100,13 +100,18 @@
         sources: Sequence[CallSource],
         health: StoreHealth,
         clock: Callable[[], float],
+        build_exchange: Callable[..., HttpExchange] = HttpExchange,
     ) -> None:
-        """Takes the sources whose calls go to the store at `endpoint`."""
+        """Takes the sources whose calls go to the store at `endpoint`.
+
+        `build_exchange` is called with the arguments of HttpExchange.
+        """
         super().__init__(channel='store-link')
         self._endpoint = endpoint
         self._sources = tuple(sources)
         self._health = health
         self._clock = clock
+        self._build_exchange = build_exchange
         self.calls: dict[int, RunningCall] = {}
         self._serial = 0
         Ticker('store', TICK_PERIOD_S, self.run_due).register(self)
@@ -197,7 +202,7 @@
             self.finish(running, decoded)
             self.run_due()
 
-        exchange = HttpExchange(
+        exchange = self._build_exchange(
             f'store-{number}',
             self._endpoint,
             encode_call(call),
--- a/cumindrift/fleet/settings.py
+++ b/cumindrift/fleet/settings.py
@@ -22,6 +22,8 @@
     cold_rate_slack: float = 5.0
     # An evacuation is in force this long after the store has accepted it.
     evacuation_delay_s: float = 5.0
+    # So is a manifest.
+    manifest_delay_s: float = 3.0
 
 
 @define(frozen=True, slots=True, eq=False, repr=False)
--- a/cumindrift/fleet/watcher.py
+++ b/cumindrift/fleet/watcher.py
@@ -126,6 +126,17 @@
             return False
         return self.adopt(objects, as_of, now_s)
 
+    def catch_up(self, since: int, changes: StoreAnswer, now_s: float) -> bool:
+        """Applies all changes of the store after the revision `since`.
+
+        Returns whether there was a change that the copy lacked. A copy that
+        has advanced meanwhile is left alone: its watch works.
+        """
+        if self.version.as_of != since:
+            return False
+        objects = apply_changes(self.objects, changes.items)
+        return self.compare(objects, changes.as_of, now_s)
+
     def on_answer(self, answer: StoreAnswer, now_s: float) -> None:
         """Handles the result of the last call."""
         self._is_running = False
@@ -162,18 +173,9 @@
             # an object that these events add may be gone again.
             self._due_s = now_s + BACKOFF_MIN_S
             return
-        objects = dict(self.objects)
-        for item in answer.items:
-            known = objects.get(item.name)
-            if known is not None and 0 < item.revision < known.revision:
-                # A later page of the list already had a newer version.
-                continue
-            if item.is_removed:
-                objects.pop(item.name, None)
-            else:
-                objects[item.name] = item
         if answer.items:
             self._due_s = now_s + self.batch_delay_s
+            objects = apply_changes(self.objects, answer.items)
             self._take(objects, answer.as_of, now_s)
         else:
             self.version.confirm(answer.as_of, NOT_READ, now_s)
@@ -193,6 +195,21 @@
     return {item.name: item for item in items if not item.is_removed}
 
 
+def apply_changes(known: Objects, changes: Iterable[StoreItem]) -> Objects:
+    """Returns a copy with the changes that the store reports, oldest first."""
+    objects = dict(known)
+    for item in changes:
+        found = objects.get(item.name)
+        if found is not None and 0 < item.revision < found.revision:
+            # A later page of the list already had a newer version.
+            continue
+        if item.is_removed:
+            objects.pop(item.name, None)
+        else:
+            objects[item.name] = item
+    return objects
+
+
 def revision_of_change(known: Objects, objects: Objects, as_of: int) -> int:
     """Returns a revision that includes all changes between two copies.
 
--- a/cumindrift/platform/node_file.py
+++ b/cumindrift/platform/node_file.py
@@ -64,6 +64,7 @@
 def _parse_bounds(raw: dict[str, Any]) -> NodeBounds:
     defaults = NodeBounds()
     evacuation_ms = defaults.evacuation_delay_s * _MS_PER_S
+    manifest_ms = defaults.manifest_delay_s * _MS_PER_S
     return NodeBounds(
         float(raw.get('grace_s', defaults.stop_within_s)),
         float(raw.get('flow_ttl_s', defaults.flow_lifetime_s)),
@@ -71,6 +72,7 @@
         float(raw.get('warmup_factor', defaults.cold_rate_factor)),
         float(raw.get('warmup_slack', defaults.cold_rate_slack)),
         float(raw.get('evacuate_ms', evacuation_ms)) / _MS_PER_S,
+        float(raw.get('config_apply_ms', manifest_ms)) / _MS_PER_S,
     )
 
 
--- a/cumindrift/platform/store_api.py
+++ b/cumindrift/platform/store_api.py
@@ -71,7 +71,7 @@
     query = []
     if call.after:
         query.append(f'after={quote(call.after, safe="")}')
-    if call.verb is CallVerb.WATCH:
+    if call.verb in {CallVerb.WATCH, CallVerb.CHANGES}:
         wait_ms = int(call.wait_s * _MS_PER_S)
         query.extend((f'watch={call.revision}', f'wait_ms={wait_ms}'))
     if call.verb is CallVerb.REMOVE and call.revision:
--- a/cumindrift/steering/balancer/port.py
+++ b/cumindrift/steering/balancer/port.py
@@ -1,11 +1,9 @@
 """A balancer's ports: one for routers' packets, one for agents' reports."""
 
-from cumindrift.fleet.balancer_store import (
-    AGENT_KIND,
-    remove_agent,
-    request_full_list,
-)
+from cumindrift.fleet.balancer_store import remove_agent
 from cumindrift.fleet.context import NodeContext
+from cumindrift.fleet.kind import AGENT_KIND
+from cumindrift.fleet.watched_kind import request_full_list
 from cumindrift.platform.documents import EVACUATION_KIND, MANIFEST_KIND
 from cumindrift.port import DatagramPort
 from cumindrift.steering.balancer.core import BalancerCore
--- a/features/builders/store_history.py
+++ b/features/builders/store_history.py
@@ -80,6 +80,9 @@
     watcher: KindWatcher = field(init=False)
     _call: StoreCall | None = None
     _answer: StoreAnswer | None = None
+    # A check by changes: after which revision, and what the store answered.
+    _since: int = NOT_READ
+    _changes: StoreAnswer | None = None
 
     def __attrs_post_init__(self) -> None:
         """Builds the store and the watcher."""
@@ -96,6 +99,8 @@
             self._deliver: 2,
             self._adopt: 2,
             self._compare: 2,
+            self._ask_changes: 2,
+            self._catch_up: 2,
             self._list_again: 1,
             self._lose: 1,
         }
@@ -161,6 +166,20 @@
             objects = self.store.objects_at(as_of)
             self.watcher.compare(objects, as_of, self.now_s)
 
+    def _ask_changes(self) -> None:
+        since = self.watcher.version.as_of
+        if self.watcher.is_watching and self._changes is None:
+            as_of = self._late_revision()
+            events = tuple(self.store.changes[since:as_of])
+            self._since = since
+            self._changes = StoreAnswer(AnswerTag.DONE, events, as_of)
+
+    def _catch_up(self) -> None:
+        changes = self._changes
+        self._changes = None
+        if changes is not None and self.watcher.is_watching:
+            self.watcher.catch_up(self._since, changes, self.now_s)
+
     def _late_revision(self) -> int:
         """Returns a revision that is at most PEER_LAG_MAX behind the store."""
         lag = self.random.randrange(PEER_LAG_MAX)
--- a/features/node_copy_check.feature
+++ b/features/node_copy_check.feature
@@ -53,14 +53,16 @@
     When 5 s goes by without a response to the watch
     Then it checks nothing
 
-  Scenario Outline: The time to apply an evacuation sets the time between checks
-    Given a node file in which the bound evacuate_ms is <milliseconds>
-    Then a balancer checks its watches every <seconds> s at the latest
+  Scenario Outline: The time to apply a change sets the time between checks
+    Given a node file in which the bound <bound> is <milliseconds>
+    Then a balancer checks the <kind> every <seconds> s at the latest
 
     Examples:
-      | milliseconds | seconds |
-      | 5000         | 2       |
-      | 1500         | 0.6     |
+      | bound           | milliseconds | kind        | seconds |
+      | evacuate_ms     | 5000         | evacuations | 2       |
+      | evacuate_ms     | 1500         | evacuations | 0.6     |
+      | config_apply_ms | 3000         | manifest    | 1.8     |
+      | config_apply_ms | 14000        | manifest    | 8.4     |
 
   # Guards against one short silence of the store that takes the watches of all
   # balancers, which have started together.
--- /dev/null
+++ b/features/node_lost_watch.feature
@@ -0,0 +1,35 @@
+Feature: A change is in force in time although watches have been lost
+
+  A store that is silent for a moment takes the request of a watch and never
+  answers it, on a connection that stays alive. Such a watch looks like one that
+  has nothing to report.
+
+  # Guards against requests that are handled by an older manifest for as long as a
+  # lost watch waits (review/2).
+  Scenario: A manifest is in force in time although the watches have been lost
+    Given 50 balancers whose watches the store has lost
+    When a manifest is written
+    And 3 s go by at the store
+    Then each balancer applies the manifest
+
+  # Guards against a check of the manifest that a lagging replica of the store
+  # answers.
+  Scenario: A manifest is in force in time although lists are old as well
+    Given 50 balancers whose watches the store has lost
+    And lists of the store that may be stale are 6 s old
+    When a manifest is written
+    And 3 s go by at the store
+    Then each balancer applies the manifest
+
+  Scenario: Silences at any moment delay no manifest beyond its time
+    Given 30 random runs of a balancer whose store is silent at times
+    Then each manifest is in force in time while the store is stable
+
+  # Guards against a check that asks in vain for the changes of a history that the
+  # store has dropped.
+  Scenario: A lost watch whose history is gone lists the manifest again
+    Given 10 balancers whose watches the store has lost
+    When a manifest is written
+    And the store drops its history
+    And 3 s go by at the store
+    Then each balancer applies the manifest
--- a/features/steps/node_copy_check_steps.py
+++ b/features/steps/node_copy_check_steps.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 
 from cumindrift.administration.routing import HttpRequest
-from cumindrift.fleet.balancer_store import check_period_s
+from cumindrift.fleet.balancer_store import watch_store
 from cumindrift.fleet.call import AnswerTag, CallVerb, StoreItem
 from cumindrift.fleet.kind import AGENT_KIND
 from cumindrift.platform.documents import EVACUATION_KIND, MANIFEST_KIND
@@ -25,7 +25,7 @@
 def step_lists(context, kind):
     context.bench = LinkBench()
     context.watcher = context.bench.node.watchers[KINDS[kind]]
-    context.check = context.bench.node.copy_check
+    context.check = context.bench.node.copy_checks.get(KINDS[kind])
     context.bench.start_due(context.watcher)
 
 
@@ -139,9 +139,10 @@
     context.node.apply_settings(read_node_file(text).content.settings)
 
 
-@then('a balancer checks its watches every {seconds:g} s at the latest')
-def step_period(context, seconds):
-    found_s = check_period_s(context.node)
+@then('a balancer checks the {kind} every {seconds:g} s at the latest')
+def step_period(context, kind, seconds):
+    watch_store(context.node)
+    found_s = context.node.copy_checks[KINDS[kind]].period_s()
     assert abs(found_s - seconds) < 0.001, found_s
 
 
--- /dev/null
+++ b/features/steps/node_lost_watch_steps.py
@@ -0,0 +1,62 @@
+"""Steps of node_lost_watch.feature."""
+
+from behave import given, then, when
+
+from features.builders.lost_watch import SilenceRun, StoreBench
+
+
+@given('{count:d} balancers whose watches the store has lost')
+def step_lost(context, count):
+    context.benches = [StoreBench(seed) for seed in range(count)]
+    for bench in context.benches:
+        bench.loses_watches = True
+        bench.renew_watches()
+        # The moment of a change differs from that of the last check.
+        bench.pass_time(3.0 + bench.node.random.random() * 2)
+
+
+@given('lists of the store that may be stale are {age_s:g} s old')
+def step_stale(context, age_s):
+    for bench in context.benches:
+        bench.model.stale_s = age_s
+
+
+@when('a manifest is written')
+def step_manifest(context):
+    for bench in context.benches:
+        bench.put_manifest()
+
+
+@when('the store drops its history')
+def step_compact(context):
+    for bench in context.benches:
+        bench.model.compact()
+
+
+@when('{seconds:g} s go by at the store')
+def step_time(context, seconds):
+    for bench in context.benches:
+        bench.pass_time(seconds)
+
+
+@then('each balancer applies the manifest')
+def step_applied(context):
+    late = [
+        bench.seed
+        for bench in context.benches
+        if bench.node.directory.manifest.version != bench.version
+    ]
+    assert not late, f'{len(late)} are late: seeds {late}'
+
+
+@given('{count:d} random runs of a balancer whose store is silent at times')
+def step_runs(context, count):
+    context.runs = [SilenceRun(seed) for seed in range(count)]
+
+
+@then('each manifest is in force in time while the store is stable')
+def step_in_time(context):
+    for run in context.runs:
+        run.run()
+    late = {run.seed: run.late[:3] for run in context.runs if run.late}
+    assert not late, f'{len(late)} runs: {late}'
--- a/features/steps/store_standin_steps.py
+++ b/features/steps/store_standin_steps.py
@@ -130,6 +130,23 @@
     assert names_in(found[-1]) == wanted, found
 
 
+@when('the changes after {revision:d} are asked for')
+def step_ask_changes(context, revision):
+    query = f'?watch={revision}&wait_ms=0'
+    context.store.call('GET', query=query)
+
+
+@when('the changes after {revision:d} are asked for and may be stale')
+def step_ask_stale(context, revision):
+    query = f'?watch={revision}&wait_ms=0&serializable=1'
+    context.store.call('GET', query=query)
+
+
+@then('the store answers as of {revision:d}')
+def step_as_of(context, revision):
+    assert json.loads(context.store.answers[-1].body)['as_of'] == revision
+
+
 @then('the watch is not answered')
 def step_unanswered(context):
     found = [
--- a/features/store_standin.feature
+++ b/features/store_standin.feature
@@ -33,6 +33,26 @@
     And 26 s pass at the store
     Then the watch is answered with the changes none
 
+  Scenario: A watch that does not wait is answered at once
+    Given a store stand-in
+    When POST side-1 is called with content one
+    And the changes after 2 are asked for
+    Then it answers 200 with the changes none
+    When 10 s pass at the store
+    And POST side-2 is called with content one
+    And the changes after 2 are asked for
+    Then it answers 200 with the changes side-2
+
+  Scenario: Changes that may be stale end at an earlier revision
+    Given a store stand-in
+    When POST side-1 is called with content one
+    And 10 s pass at the store
+    And POST side-2 is called with content one
+    And lists that may be stale are 6 s old
+    And the changes after 1 are asked for and may be stale
+    Then it answers 200 with the changes side-1
+    And the store answers as of 2
+
   Scenario: A watch from a compacted revision gets 410
     Given a store stand-in
     When POST side-1 is called with content one
--- a/standin/store.py
+++ b/standin/store.py
@@ -45,8 +45,8 @@
 class StoreModel:
     """Objects of all kinds under one revision counter; time is passed in.
 
-    `mode` selects the fault: well (none), down, busy, slow or lossy. Lists
-    that may be stale are `stale_s` old.
+    `mode` selects the fault: well (none), down, busy, slow or lossy. What may
+    be stale is `stale_s` old.
     """
 
     clock: Callable[[], float]
@@ -144,13 +144,16 @@
                 self._watches.remove(watch)
                 watch.reply(self._events_after(kind, watch.revision))
 
-    def _events_after(self, kind: str, revision: int) -> HttpResponse:
+    def _events_after(
+        self, kind: str, revision: int, until_revision: int | None = None
+    ) -> HttpResponse:
+        as_of = self.revision if until_revision is None else until_revision
         events = [
             event
             for at, of_kind, event in self._history
-            if at > revision and of_kind == kind
+            if revision < at <= as_of and of_kind == kind
         ]
-        body = {'events': events, 'as_of': self.revision}
+        body = {'events': events, 'as_of': as_of}
         return HttpResponse.of_json(STATUS_OK, body)
 
     def _watch(
@@ -163,17 +166,17 @@
         if revision < self._compacted_revision:
             reply(HttpResponse.of_json(STATUS_GONE, {}))
             return
-        found = self._events_after(kind, revision)
-        if json.loads(found.body)['events']:
+        until_revision = self._state_for(request).revision
+        found = self._events_after(kind, revision, until_revision)
+        wait_s = (request.query_number('wait_ms') or 0) / _MS_PER_S
+        if json.loads(found.body)['events'] or not wait_s:
             reply(found)
             return
-        wait_s = (request.query_number('wait_ms') or 0) / _MS_PER_S
         watch = Watch(kind, revision, self.clock() + wait_s, reply)
         self._watches.append(watch)
 
     def _read(self, request: HttpRequest, kind: str, name: str) -> HttpResponse:
-        may_be_stale = bool(request.query_number('serializable'))
-        state = self._state_of(self.stale_s if may_be_stale else 0.0)
+        state = self._state_for(request)
         objects = state.objects.get(kind, {})
         if name:
             found = objects.get(name)
@@ -191,9 +194,10 @@
         }
         return HttpResponse.of_json(STATUS_OK, body)
 
-    def _state_of(self, age_s: float) -> StoreState:
-        if age_s:
-            return self._past.state_before(age_s)
+    def _state_for(self, request: HttpRequest) -> StoreState:
+        """Returns the state that a call reads, which may be stale."""
+        if self.stale_s and request.query_number('serializable'):
+            return self._past.state_before(self.stale_s)
         return StoreState(self.clock(), self.revision, self.objects)
 
     def _write(
