A balancer notices that the watch of the agents' entries has been lost

Callers could be refused, or wait for a busy target, while a target that had joined got no flows: after a short silence of the store no balancer knew its agent for as long as a lost watch waits, up to 27 s.

Change: the agents' entries are checked every 2 to 4 s, by what has changed after the copy's revision. The calls may be stale: no bound says when an agent must be known.

--- a/cumindrift/fleet/balancer_store.py
+++ b/cumindrift/fleet/balancer_store.py
@@ -29,6 +29,8 @@
 # The same for a manifest, whose checks are never stale; the rest is for a call
 # that has to be repeated.
 MANIFEST_CHECK_SHARE = 0.6
+# No bound says when an agent has to be known. Its target serves nobody before.
+AGENT_CHECK_PERIOD_S = 4.0
 
 
 def evacuation_check_s(bounds: NodeBounds) -> float:
@@ -41,6 +43,11 @@
     return bounds.manifest_delay_s * MANIFEST_CHECK_SHARE
 
 
+def agent_check_s(_bounds: NodeBounds) -> float:
+    """Returns the longest time between two checks of the agents' entries."""
+    return AGENT_CHECK_PERIOD_S
+
+
 def watch_store(context: NodeContext) -> None:
     """Makes a balancer watch manifest, agents and evacuations."""
     context.directory = Directory()
@@ -88,7 +95,11 @@
         )
 
 
-@watches(AGENT_KIND, batch_delay_s=AGENT_BATCH_DELAY_S, check=None)
+@watches(
+    AGENT_KIND,
+    batch_delay_s=AGENT_BATCH_DELAY_S,
+    check=CheckPlan('changes', agent_check_s),
+)
 def apply_agents(context: NodeContext, objects: Objects) -> None:
     """Applies the entries of all agents; unreadable ones are left out."""
     agents = {}
--- a/cumindrift/fleet/watched_kind.py
+++ b/cumindrift/fleet/watched_kind.py
@@ -42,19 +42,19 @@
     Attributes:
         apply: Puts a new copy of the objects in force.
         batch_delay_s: The pause before the watch goes on after a change.
-        check: How the watch is checked; None if it is not.
+        check: How the watch is checked.
     """
 
     apply: Apply
     batch_delay_s: float
-    check: CheckPlan | None
+    check: CheckPlan
 
 
 watched_kinds: Registry[WatchedKind] = Registry('watched kind')
 
 
 def watches(
-    kind: str, *, batch_delay_s: float, check: CheckPlan | None
+    kind: str, *, batch_delay_s: float, check: CheckPlan
 ) -> Callable[[Apply], Apply]:
     """Returns a decorator that has a function applied to copies of a kind.
 
@@ -81,10 +81,7 @@
             context.random,
             watched.batch_delay_s,
         )
-        if watched.check is not None:
-            context.copy_checks[kind] = build_check(
-                context, kind, watched.check
-            )
+        context.copy_checks[kind] = build_check(context, kind, watched.check)
 
 
 def build_check(context: NodeContext, kind: str, plan: CheckPlan) -> CopyCheck:
--- a/features/node_lost_watch.feature
+++ b/features/node_lost_watch.feature
@@ -33,3 +33,17 @@
     And the store drops its history
     And 3 s go by at the store
     Then each balancer applies the manifest
+
+  # Guards against targets that get no flows because no balancer knows their agents,
+  # for as long as a lost watch waits.
+  Scenario Outline: An agent is known within seconds although the watches have been lost
+    Given 50 balancers whose watches the store has lost
+    And lists of the store that may be stale are <age> s old
+    When an agent registers
+    And 5 s go by at the store
+    Then each balancer knows the agent
+
+    Examples:
+      | age |
+      | 0   |
+      | 0.5 |
--- a/features/steps/node_lost_watch_steps.py
+++ b/features/steps/node_lost_watch_steps.py
@@ -2,7 +2,7 @@
 
 from behave import given, then, when
 
-from features.builders.lost_watch import SilenceRun, StoreBench
+from features.builders.lost_watch import AGENT, SilenceRun, StoreBench
 
 
 @given('{count:d} balancers whose watches the store has lost')
@@ -27,6 +27,22 @@
         bench.put_manifest()
 
 
+@when('an agent registers')
+def step_agent(context):
+    for bench in context.benches:
+        bench.put_agent()
+
+
+@then('each balancer knows the agent')
+def step_knows_agent(context):
+    unaware = [
+        bench.seed
+        for bench in context.benches
+        if AGENT not in bench.node.directory.agents
+    ]
+    assert not unaware, f'{len(unaware)} do not know it: seeds {unaware}'
+
+
 @when('the store drops its history')
 def step_compact(context):
     for bench in context.benches:
