Balancers renew their watches at different moments after a change

Cause: all balancers hear of a change at the same moment and renewed their watches exactly 0.3 s later (agents' entries: 0.5 s). One silence of 0.2 s took the watches of all, and news from peers, which is meant to help a balancer whose watch is lost, had nobody to come from.

Change: the pause after a change is one to two times what it was.

--- a/cumindrift/fleet/watched_kind.py
+++ b/cumindrift/fleet/watched_kind.py
@@ -41,7 +41,7 @@
 
     Attributes:
         apply: Puts a new copy of the objects in force.
-        batch_delay_s: The pause before the watch goes on after a change.
+        batch_delay_s: The least pause before the watch goes on after a change.
         check: How the watch is checked.
     """
 
--- a/cumindrift/fleet/watcher.py
+++ b/cumindrift/fleet/watcher.py
@@ -54,8 +54,9 @@
 
     The copy never goes back: the answer to a call that began before a peer's
     newer copy was adopted is left out, and the next call goes on from the
-    adopted copy. `batch_delay_s` is the pause after a change, so that changes
-    in quick succession arrive in one response.
+    adopted copy. `batch_delay_s` is the least pause after a change, so that
+    changes in quick succession arrive in one response; it is twice as long at
+    most.
     """
 
     kind: str
@@ -174,7 +175,10 @@
             self._due_s = now_s + BACKOFF_MIN_S
             return
         if answer.items:
-            self._due_s = now_s + self.batch_delay_s
+            # All balancers hear of a change at the same moment; one short
+            # silence must not take the next watches of all of them.
+            pause_s = self.batch_delay_s * (1 + self.random.random())
+            self._due_s = now_s + pause_s
             objects = apply_changes(self.objects, answer.items)
             self._take(objects, answer.as_of, now_s)
         else:
--- a/features/builders/node_store.py
+++ b/features/builders/node_store.py
@@ -12,6 +12,7 @@
 from cumindrift.fleet.call import AnswerTag, StoreAnswer, StoreCall, StoreItem
 from cumindrift.fleet.context import NodeContext
 from cumindrift.fleet.directory import Directory
+from cumindrift.fleet.kind import AGENT_KIND
 from cumindrift.fleet.link import CallSource, RunningCall, StoreLink
 from cumindrift.fleet.recorder import (
     RESET_WINDOW,
@@ -20,10 +21,19 @@
     FlowRecorder,
 )
 from cumindrift.fleet.watcher import KindWatcher
+from cumindrift.platform.documents import EVACUATION_KIND, MANIFEST_KIND
 from cumindrift.platform.node_file import read_node_file
 from features.builders.node import node_file
 
 BATCH_DELAY_S = 0.5
+# Kinds of store objects, by their names in scenarios.
+KINDS = {
+    'evacuations': EVACUATION_KIND,
+    'manifest': MANIFEST_KIND,
+    'agents': AGENT_KIND,
+}
+# How finely a bench steps its clock.
+STEP_S = 0.01
 ENTRY = {'ip': '10.1.0.13', 'data_centre': 'hel-a', 'service': 'kaynti'}
 MANIFEST = {
     'version': 4,
@@ -183,6 +193,13 @@
             )
         return call
 
+    def time_until_call(self, source: CallSource) -> float:
+        """Returns the time until a source starts a call."""
+        start_s = self.now_s
+        while self.start_due(source) is None:
+            self.now_s += STEP_S
+        return self.now_s - start_s
+
     def call_of(self, source: CallSource) -> StoreCall | None:
         """Returns the running call of a source, if any."""
         for running in self.link.calls.values():
--- a/features/node_lost_watch.feature
+++ b/features/node_lost_watch.feature
@@ -47,3 +47,14 @@
       | age |
       | 0   |
       | 0.5 |
+
+  # Guards against one short silence that takes the watches of all balancers, which
+  # have heard of the same change.
+  Scenario Outline: Balancers do not renew their watches together after a change
+    Given 100 balancers that hear of a change of the <kind>
+    Then in no <window> s more than half of them watch it again
+
+    Examples:
+      | kind        | window |
+      | manifest    | 0.1    |
+      | agents      | 0.1    |
--- a/features/steps/node_copy_check_steps.py
+++ b/features/steps/node_copy_check_steps.py
@@ -5,20 +5,12 @@
 from cumindrift.administration.routing import HttpRequest
 from cumindrift.fleet.balancer_store import watch_store
 from cumindrift.fleet.call import AnswerTag, CallVerb, StoreItem
-from cumindrift.fleet.kind import AGENT_KIND
-from cumindrift.platform.documents import EVACUATION_KIND, MANIFEST_KIND
+from cumindrift.platform.documents import EVACUATION_KIND
 from cumindrift.platform.node_file import read_node_file
 from cumindrift.steering.page import show_metrics
 from features.builders.core import logged_lines
 from features.builders.node import node_file
-from features.builders.node_store import LinkBench, make_context
-
-# Kinds of store objects, by their names in scenarios.
-KINDS = {
-    'evacuations': EVACUATION_KIND,
-    'manifest': MANIFEST_KIND,
-    'agents': AGENT_KIND,
-}
+from features.builders.node_store import KINDS, LinkBench, make_context
 
 
 @given('a balancer that lists the {kind}')
--- a/features/steps/node_lost_watch_steps.py
+++ b/features/steps/node_lost_watch_steps.py
@@ -2,7 +2,9 @@
 
 from behave import given, then, when
 
+from cumindrift.fleet.call import AnswerTag, StoreItem
 from features.builders.lost_watch import AGENT, SilenceRun, StoreBench
+from features.builders.node_store import KINDS, LinkBench
 
 
 @given('{count:d} balancers whose watches the store has lost')
@@ -76,3 +78,29 @@
         run.run()
     late = {run.seed: run.late[:3] for run in context.runs if run.late}
     assert not late, f'{len(late)} runs: {late}'
+
+
+@given('{count:d} balancers that hear of a change of the {kind}')
+def step_hear(context, count, kind):
+    context.pauses_s = []
+    for seed in range(count):
+        bench = LinkBench()
+        bench.node.random.seed(seed)
+        watcher = bench.node.watchers[KINDS[kind]]
+        bench.start_due(watcher)
+        bench.end_call(watcher, AnswerTag.DONE, as_of=40)
+        bench.start_due(watcher)
+        item = StoreItem('main', 41, {})
+        bench.end_call(watcher, AnswerTag.DONE, item, as_of=41)
+        context.pauses_s.append(bench.time_until_call(watcher))
+
+
+@then('in no {window_s:g} s more than half of them watch it again')
+def step_spread(context, window_s):
+    pauses_s = sorted(context.pauses_s)
+    half = len(pauses_s) // 2
+    least_s = min(
+        later - first
+        for first, later in zip(pauses_s, pauses_s[half:], strict=False)
+    )
+    assert least_s > window_s, (least_s, pauses_s)
