Known red: settings of the product's own interface and lost watches

The test writes settings whose writer hands them to no peer after the watches of all feeders have been lost, and looks after 14 s, in which a change has to be in force.

--- a/features/feeder.feature
+++ b/features/feeder.feature
@@ -41,3 +41,13 @@
     Then the whole fleet runs version 1
     And the fleet has 2 feeders in each of 2 data centres
     And at most 4 new processes of the fleet called the platform
+
+  # Guards against settings that nobody hears of for as long as a lost watch waits,
+  # when their writer has handed them to no peer.
+  Scenario: Settings are in force in time although the feeders' watches are lost
+    Given a fleet of 8 in 2 data centres
+    And the fleet has run for 10 s with version 1
+    When the platform of the fleet loses its open watches
+    And the fleet's settings are overwritten with valid ones
+    And the fleet runs for 14 s
+    Then the whole fleet runs version 3
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -282,6 +282,11 @@
     context.fleet.replace_settings(body.encode())
 
 
+@when('the platform of the fleet loses its open watches')
+def step_lose_watches(context):
+    context.fleet.model.lose_watches()
+
+
 @when("the fleet's settings are overwritten with valid ones")
 def step_over(context):
     context.fleet.replace_settings(record_body(3, fleet_tree(9)))
--- a/standin/platform.py
+++ b/standin/platform.py
@@ -120,6 +120,10 @@
         """The number of open watches."""
         return len(self._watches)
 
+    def lose_watches(self) -> None:
+        """Forgets the open watches; their connections stay open."""
+        self._watches.clear()
+
     def watch(
         self,
         key: str,
