--- a/features/soak.feature
+++ b/features/soak.feature
@@ -29,6 +29,13 @@
     Then no promise was broken
     And it opened 100 flows or more
 
+  # Guards against flows that are opened by an old manifest while the watches of all
+  # balancers have been lost (review/2).
+  Scenario: A manifest takes effect although all watches have been lost
+    When the soak runs seed 51 with 11 s of the fault unheard
+    Then no promise was broken
+    And it opened 100 flows or more
+
   # Guards against a harness that fails, and mixes up the incarnations of a target,
   # when a crash and a drain of it overlap.
   Scenario: A target that is ended by two faults is started again once
@@ -42,11 +49,12 @@
     Then the promise <promise> is recorded as broken
 
     Examples:
-      | what                                                     | promise  |
-      | a client receives a reset for a flow that a target holds | flow     |
-      | a client receives a packet with a wrong checksum         | bytes    |
-      | a client receives the response to another flow           | mixed    |
-      | a flow does not open after the time to recover           | recover  |
-      | a draining target receives a SYN after the time to drain | drain    |
-      | a target receives a SYN after the time to evacuate       | evacuate |
-      | a handler of the soak itself fails                       | driver   |
+      | what                                                       | promise  |
+      | a client receives a reset for a flow that a target holds   | flow     |
+      | a client receives a packet with a wrong checksum           | bytes    |
+      | a client receives the response to another flow             | mixed    |
+      | a flow does not open after the time to recover             | recover  |
+      | a draining target receives a SYN after the time to drain   | drain    |
+      | a target receives a SYN after the time to evacuate         | evacuate |
+      | a target receives a SYN after the time to apply a manifest | manifest |
+      | a handler of the soak itself fails                         | driver   |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -136,6 +136,12 @@
     context.target.receive_packet(opening())
 
 
+@when('a target receives a SYN after the time to apply a manifest')
+def step_unrouted(context):
+    context.target.unrouted_s = context.now_s - 5
+    context.target.receive_packet(opening())
+
+
 @then('the promise {promise} is recorded as broken')
 def step_noted(context, promise):
     assert len(context.ledger.breaches) == 1, context.ledger.breaches
--- a/lab/soak/fault.py
+++ b/lab/soak/fault.py
@@ -206,6 +206,23 @@
     return ((OUTDATED_S, lambda: harness.end_evacuation(name)),)
 
 
+@faults.register('unheard')
+def mute_before_manifest(harness: Any, random: Random) -> ScheduledEnds:
+    """Changes the manifest when all balancers' watches have been lost.
+
+    Like `mute`; only while no other fault excuses a balancer that does not
+    know the manifest.
+    """
+    if not harness.is_calm:
+        return ()
+    others = [name for name in SERVICES if name != harness.routed_service]
+    for proxy in harness.balancer_proxies():
+        proxy.mute_all()
+    harness.put_manifest(random.choice(others))
+    harness.expect_manifest()
+    return ((OUTDATED_S, harness.excuse_manifests),)
+
+
 @faults.register('lag')
 def lag_lists(harness: Any, random: Random) -> ScheduledEnds:
     """Does the same as `mute` while lists that may be stale are old.
--- a/lab/soak/harness.py
+++ b/lab/soak/harness.py
@@ -28,6 +28,8 @@
 CHECKED_S = 4.0
 FAULT_GAP_MIN_S, FAULT_GAP_MAX_S = 0.1, 1.2
 VERSION_STEP_MAX = 3
+# The fault at which balancers have to know a manifest in time.
+UNHEARD = 'unheard'
 
 
 class SoakHarness(Child):
@@ -84,6 +86,7 @@
 
     def put_manifest(self, service: str) -> None:
         """Writes a manifest that routes the service address to `service`."""
+        self._routed_service = service
         self._version += self._random.randint(1, VERSION_STEP_MAX)
         spec = {
             'version': self._version,
@@ -99,6 +102,30 @@
         }
         self.store.put('config', 'main', spec)
 
+    @property
+    def is_calm(self) -> bool:
+        """Tells whether no fault has to be ended."""
+        return not self._pending_ends
+
+    @property
+    def routed_service(self) -> str:
+        """Returns the service that gets new flows."""
+        return self._routed_service
+
+    def expect_manifest(self) -> None:
+        """Has targets of other services take SYNs by an old manifest for late.
+
+        Until `excuse_manifests` is called, or a fault begins.
+        """
+        for target in self.targets:
+            if target.service != self._routed_service:
+                target.unrouted_s = self.clock()
+
+    def excuse_manifests(self) -> None:
+        """Allows balancers not to know the manifest."""
+        for target in self.targets:
+            target.unrouted_s = 0.0
+
     @property
     def is_evacuating(self) -> bool:
         """Tells whether a data centre is evacuated."""
@@ -184,6 +211,8 @@
         self._next_fault_s = now_s + gap_s
         name = self._random.choice(self._fault_names)
         self.injected.append((now_s, name))
+        if name != UNHEARD:
+            self.excuse_manifests()
         for delay_s, end in faults.get(name)(self, self._random):
             self._pending_ends.append((now_s + delay_s, end))
 
--- a/lab/soak/target.py
+++ b/lab/soak/target.py
@@ -24,7 +24,9 @@
     DRAIN_S,
     EVACUATE_S,
     HEARTBEAT_S,
+    MANIFEST_S,
     OUTBOUND_PORT,
+    SYN_REPEATS_S,
     TARGET_PORT,
 )
 from lab.soak.wire import (
@@ -74,6 +76,9 @@
         self.drained_s = 0.0
         # When the evacuation of its data centre began; 0 if there is none.
         self.evacuated_s = 0.0
+        # When a manifest routed its service address elsewhere; 0 if none has,
+        # or if a fault excuses balancers that have not heard of it.
+        self.unrouted_s = 0.0
         self.last_ack_s = 0.0
         # Wall-clock error of the start time that the next incarnation reports.
         self.clock_step_s = 0.0
@@ -194,6 +199,9 @@
                 self._ledger.breach('drain', now_s, self.ip)
             if self.evacuated_s and now_s - self.evacuated_s > EVACUATE_S:
                 self._ledger.breach('evacuate', now_s, self.ip)
+            unrouted_s = now_s - self.unrouted_s
+            if self.unrouted_s and unrouted_s > MANIFEST_S + SYN_REPEATS_S:
+                self._ledger.breach('manifest', now_s, self.ip)
         self._answer(packet, SYN | ACK, flow.sequence, packet.sequence + 1)
 
     def _on_data(self, packet: Any, flow: TargetFlow) -> None:
--- a/lab/soak/topology.py
+++ b/lab/soak/topology.py
@@ -16,6 +16,9 @@
 # Time bounds from the user documentation; the soak checks promises by them.
 DRAIN_S = 3.0
 EVACUATE_S = 5.0
+MANIFEST_S = 3.0
+# A client repeats a SYN for this long.
+SYN_REPEATS_S = 1.4
 RECOVER_S = 12.0
 HEARTBEAT_S = 0.6
 
