A watch that has just begun is not checked

Callers saw nothing of this; the store and the logs did.

Cause: a check that is due while the watcher pauses after a change starts at the same tick as the next watch. Both report what has changed meanwhile; if the check comes first, the working watch is taken for lost, all watches are restarted, and the log says change-missed.

Change: a check waits until its watch has been running for 0.3 s. A lost watch is still found in time: the pause and this are 0.9 s of the 1.8 s between checks.

--- a/cumindrift/fleet/copy_check.py
+++ b/cumindrift/fleet/copy_check.py
@@ -10,6 +10,9 @@
 from cumindrift.fleet.check_method import CheckMethod
 from cumindrift.fleet.watcher import KindWatcher
 
+# A watch reports at once what has changed before it began, unless it is lost.
+WATCH_GRACE_S = 0.3
+
 
 @define(slots=True, eq=False, repr=False)
 class CopyCheck:
@@ -48,9 +51,11 @@
     def next_call(self, now_s: float) -> StoreCall | None:
         """Returns the call that is due now, if any.
 
-        While the watcher itself lists or pauses, there is nothing to check.
+        While the watcher itself lists or pauses, there is nothing to check;
+        nor is there when its watch has just begun.
         """
-        is_due = now_s >= self._due_s and self.watcher.is_watching
+        is_watching = self.watcher.has_watched_for(WATCH_GRACE_S, now_s)
+        is_due = now_s >= self._due_s and is_watching
         if self._call is not None or not is_due:
             return None
         may_be_stale = self.accepts_stale and self.failure_count == 0
--- a/cumindrift/fleet/watcher.py
+++ b/cumindrift/fleet/watcher.py
@@ -72,6 +72,7 @@
     _due_s: float = 0.0
     _is_running: bool = False
     _is_listing: bool = False
+    _call_started_s: float = 0.0
     # Whether a peer's copy was adopted while the call runs.
     _is_superseded: bool = False
 
@@ -81,6 +82,7 @@
             return None
         self._is_running = True
         self._is_superseded = False
+        self._call_started_s = now_s
         self._is_listing = self._needs_list
         if not self._is_listing:
             jitter_s = WATCH_WAIT_JITTER_S * self.random.random()
@@ -99,6 +101,10 @@
         """Tells whether a watch is running; `list_again` may replace it."""
         return self._is_running and not self._is_listing
 
+    def has_watched_for(self, seconds: float, now_s: float) -> bool:
+        """Tells whether a watch has been running for at least `seconds`."""
+        return self.is_watching and now_s - self._call_started_s >= seconds
+
     def list_again(self) -> None:
         """Makes the next call a list; no call may be running."""
         self._needs_list = True
--- a/features/node_copy_check.feature
+++ b/features/node_copy_check.feature
@@ -48,6 +48,23 @@
     When the check finds that hel-a is evacuated, as of 43
     Then the balancer takes hel-a for evacuated
 
+  # Guards against watches that are restarted although they work: a watch reports at
+  # once what has changed before it began, and a check would often report it first.
+  Scenario Outline: A watch that has just begun is not checked
+    Given a balancer that watches the <kind>, as of 40
+    When its watch of the <kind> reports a change, as of 41
+    And 5 s goes by without a response to the watch
+    And its watch of the <kind> begins again
+    Then it checks nothing
+    When 0.4 s goes by without a response to the watch
+    Then a check of the <kind> is due
+
+    Examples:
+      | kind        |
+      | manifest    |
+      | agents      |
+      | evacuations |
+
   Scenario: Nothing is checked while the evacuations are listed
     Given a balancer that lists the evacuations
     When 5 s goes by without a response to the watch
--- a/features/steps/node_copy_check_steps.py
+++ b/features/steps/node_copy_check_steps.py
@@ -33,6 +33,25 @@
     context.bench.now_s += seconds
 
 
+@when('its watch of the {_kind} reports a change, as of {as_of:d}')
+def step_reports(context, _kind, as_of):
+    item = StoreItem('main', as_of, {})
+    context.bench.end_call(context.watcher, AnswerTag.DONE, item, as_of=as_of)
+
+
+@when('its watch of the {_kind} begins again')
+def step_begins(context, _kind):
+    call = context.bench.start_due(context.watcher)
+    assert call.verb is CallVerb.WATCH, call
+
+
+@then('a check of the {kind} is due')
+def step_checks_kind(context, kind):
+    call = context.bench.start_due(context.check)
+    assert call is not None
+    assert call.kind == KINDS[kind], call
+
+
 @when('it checks the evacuations')
 def step_checks(context):
     assert context.bench.start_due(context.check) is not None
