--- a/features/builders/lost_watch.py
+++ b/features/builders/lost_watch.py
@@ -17,7 +17,12 @@
     MANIFEST_KIND,
     MANIFEST_NAME,
 )
-from features.builders.node_store import ENTRY, MANIFEST, make_context
+from features.builders.node_store import (
+    ENTRY,
+    MANIFEST,
+    make_context,
+    make_link,
+)
 from standin.store import StoreModel
 
 # How long the store takes for an answer.
@@ -103,14 +108,7 @@
         self.node = make_context(lambda: self.now_s)
         self.node.random = Random(self.seed)
         watch_store(self.node)
-        self.link = StoreLink(
-            Endpoint('127.0.0.1', 9),
-            self.node.sources,
-            self.node.health,
-            self.node.clock,
-            self._build_exchange,
-        )
-        self.node.link = self.link
+        self.link = make_link(self.node, build_exchange=self._build_exchange)
         self.pass_time(START_S)
         assert self.node.directory.is_complete
 
--- a/features/builders/node_store.py
+++ b/features/builders/node_store.py
@@ -152,6 +152,19 @@
     )
 
 
+def make_link(node: NodeContext, **changes: Any) -> StoreLink:
+    """Returns the store link of a node, which runs no event loop."""
+    link = StoreLink(
+        Endpoint('127.0.0.1', 9),
+        node.sources,
+        node.health,
+        node.clock,
+        **changes,
+    )
+    node.link = link
+    return link
+
+
 class SilentExchange:
     """An exchange whose server never responds."""
 
@@ -175,13 +188,7 @@
         """Builds the balancer."""
         self.node = make_context(lambda: self.now_s)
         watch_store(self.node)
-        self.link = StoreLink(
-            Endpoint('127.0.0.1', 9),
-            self.node.sources,
-            self.node.health,
-            self.node.clock,
-        )
-        self.node.link = self.link
+        self.link = make_link(self.node)
 
     def start_due(self, source: CallSource) -> StoreCall | None:
         """Starts the call of a source, if one is due."""
