Balancers share the checks of the manifest that are not stale

Operators paid for it: a check that is not stale costs ten stale ones and counts against the store's rate, and each balancer made one each 1.35 s. At 59 balancers the calls became the highest price; at 3,100 with a bound of 3 s they would be 2,296 a second of the store's 2,000.

Change: up to 16 agents no check of the manifest is stale, as before. With more agents, and so more balancers, a share of 16 by their number is not, a tenth at least; all others may be stale. Any balancer that knows a manifest tells the others by its frames, so what counts is that some of them ask.

--- a/cumindrift/fleet/balancer_store.py
+++ b/cumindrift/fleet/balancer_store.py
@@ -26,9 +26,13 @@
 # The part of the time to apply an evacuation after which its watch is checked;
 # the rest is for a list that is some seconds old.
 EVACUATION_CHECK_SHARE = 0.4
-# The same for a manifest, whose checks are never stale; the rest is for a call
-# that has to be repeated.
+# The same for a manifest; the rest is also for a call that has to be repeated.
 MANIFEST_CHECK_SHARE = 0.6
+# Up to so many agents, no check of the manifest is stale. With more of them
+# there are more balancers, and any that knows a manifest tells the others.
+AGENTS_OF_FRESH_CHECKS = 16
+# The least share of checks of the manifest that are not stale.
+FRESH_SHARE_MIN = 0.1
 # No bound says when an agent has to be known. Its target serves nobody before.
 AGENT_CHECK_PERIOD_S = 4.0
 
@@ -43,6 +47,15 @@
     return bounds.manifest_delay_s * MANIFEST_CHECK_SHARE
 
 
+def manifest_fresh_share(context: NodeContext) -> float:
+    """Returns the share of the checks of the manifest that are not stale.
+
+    Each of them costs the store ten stale ones, and counts against its rate.
+    """
+    agents = max(len(context.directory.agents), AGENTS_OF_FRESH_CHECKS)
+    return max(AGENTS_OF_FRESH_CHECKS / agents, FRESH_SHARE_MIN)
+
+
 def agent_check_s(_bounds: NodeBounds) -> float:
     """Returns the longest time between two checks of the agents' entries."""
     return AGENT_CHECK_PERIOD_S
@@ -72,7 +85,7 @@
 @watches(
     MANIFEST_KIND,
     batch_delay_s=MANIFEST_BATCH_DELAY_S,
-    check=CheckPlan('changes', manifest_check_s, accepts_stale=False),
+    check=CheckPlan('changes', manifest_check_s, manifest_fresh_share),
 )
 def apply_manifest(context: NodeContext, objects: Objects) -> None:
     """Applies the manifest unless a newer one is in force."""
--- a/cumindrift/fleet/copy_check.py
+++ b/cumindrift/fleet/copy_check.py
@@ -24,9 +24,9 @@
     a balancer's store link, so failed checks also tell that the store is
     unreachable, and their success that it is back.
 
-    The answer may be seconds old if `accepts_stale`, which makes it cheap for
-    the store, but not after a check that has shown nothing: one that failed,
-    or whose answer was older than the copy.
+    The answer may be seconds old, which makes it cheap for the store, but for
+    a random share of the checks, `fresh_share`, and not after a check that has
+    shown nothing: one that failed, or whose answer was older than the copy.
     """
 
     watcher: KindWatcher
@@ -38,7 +38,7 @@
     # Called when the store has dropped the history after the copy.
     on_history_gone: Callable[[], None]
     random: Random
-    accepts_stale: bool = True
+    fresh_share: Callable[[], float]
     failure_count: int = 0
     _due_s: float = 0.0
     _call: StoreCall | None = None
@@ -58,7 +58,8 @@
         is_due = now_s >= self._due_s and is_watching
         if self._call is not None or not is_due:
             return None
-        may_be_stale = self.accepts_stale and self.failure_count == 0
+        is_fresh = self.random.random() < self.fresh_share()
+        may_be_stale = self.failure_count == 0 and not is_fresh
         self._call = self.method.build_call(
             self.watcher, may_be_stale=may_be_stale
         )
--- a/cumindrift/fleet/watched_kind.py
+++ b/cumindrift/fleet/watched_kind.py
@@ -27,12 +27,13 @@
     Attributes:
         method: A name of `check_methods`.
         period_s: Returns the longest time between two checks.
-        accepts_stale: Whether an answer may be seconds old.
+        fresh_share: Returns the share of the checks, from 0 to 1, whose
+            answer may not be seconds old.
     """
 
     method: str
     period_s: Callable[[NodeBounds], float]
-    accepts_stale: bool = True
+    fresh_share: Callable[[NodeContext], float] = lambda _context: 0.0
 
 
 @define(frozen=True, slots=True, eq=False, repr=False)
@@ -93,7 +94,7 @@
         partial(restart_watches, context, kind),
         partial(request_full_list, context, kind),
         context.random,
-        plan.accepts_stale,
+        partial(plan.fresh_share, context),
     )
 
 
--- a/features/builders/node_store.py
+++ b/features/builders/node_store.py
@@ -11,7 +11,7 @@
 from cumindrift.fleet.balancer_store import watch_store
 from cumindrift.fleet.call import AnswerTag, StoreAnswer, StoreCall, StoreItem
 from cumindrift.fleet.context import NodeContext
-from cumindrift.fleet.directory import Directory
+from cumindrift.fleet.directory import AgentEntry, Directory
 from cumindrift.fleet.kind import AGENT_KIND
 from cumindrift.fleet.link import CallSource, RunningCall, StoreLink
 from cumindrift.fleet.recorder import (
@@ -56,6 +56,17 @@
     )
 
 
+def agent_entries(count: int) -> dict[str, AgentEntry]:
+    """Returns the entries of agents, by name."""
+    names = [f'side-{number}' for number in range(count)]
+    return {
+        name: AgentEntry(
+            name, f'10.1.{number // 250}.{number % 250}', 'hel-a', 'kaynti'
+        )
+        for number, name in enumerate(names)
+    }
+
+
 @define(slots=True, eq=False)
 class WatcherBench:
     """A watcher with a test clock; tests provide the results of its calls."""
--- a/features/node_copy_check.feature
+++ b/features/node_copy_check.feature
@@ -119,3 +119,17 @@
       | manifest    |
       | agents      |
       | evacuations |
+
+  # Guards against checks that cost the store more the more balancers there are.
+  Scenario Outline: Balancers share the checks of the manifest that are not stale
+    Given a balancer that knows <agents> agents and watches the manifest
+    When it has checked the manifest 1000 times
+    Then <low> to <high> of the checks were not stale
+
+    Examples:
+      | agents | low  | high |
+      | 0      | 1000 | 1000 |
+      | 16     | 1000 | 1000 |
+      | 64     | 200  | 300  |
+      | 160    | 70   | 130  |
+      | 16000  | 70   | 130  |
--- a/features/node_lost_watch.feature
+++ b/features/node_lost_watch.feature
@@ -21,6 +21,16 @@
     And 3 s go by at the store
     Then each balancer applies the manifest
 
+  # Guards against a large deployment in which nobody asks but lagging replicas. Any
+  # balancer that knows the manifest tells the others.
+  Scenario: One of many balancers applies a manifest at once although lists are old
+    Given 60 balancers whose watches the store has lost
+    And each of them knows 136 agents
+    And lists of the store that may be stale are 6 s old
+    When a manifest is written
+    And 2 s go by at the store
+    Then at least one balancer applies the manifest
+
   Scenario: Silences at any moment delay no manifest beyond its time
     Given 30 random runs of a balancer whose store is silent at times
     Then each manifest is in force in time while the store is stable
--- a/features/steps/node_copy_check_steps.py
+++ b/features/steps/node_copy_check_steps.py
@@ -10,7 +10,12 @@
 from cumindrift.steering.page import show_metrics
 from features.builders.core import logged_lines
 from features.builders.node import node_file
-from features.builders.node_store import KINDS, LinkBench, make_context
+from features.builders.node_store import (
+    KINDS,
+    LinkBench,
+    agent_entries,
+    make_context,
+)
 
 
 @given('a balancer that lists the {kind}')
@@ -172,3 +177,24 @@
     line = logged_lines(events, 'evacuations-taken')[-1]
     assert line['data_centres'] == names.split(', '), line
     assert line['revisions'] == [int(n) for n in revisions.split(', ')], line
+
+
+@given('a balancer that knows {count:d} agents and watches the manifest')
+def step_knows_agents(context, count):
+    step_watches(context, 'manifest', 40)
+    context.bench.node.directory.apply_agents(agent_entries(count))
+
+
+@when('it has checked the manifest {count:d} times')
+def step_checks_often(context, count):
+    context.calls = []
+    for _ in range(count):
+        context.bench.now_s += 2
+        context.calls.append(context.bench.start_due(context.check))
+        context.bench.end_call(context.check, AnswerTag.DONE, as_of=40)
+
+
+@then('{low:d} to {high:d} of the checks were not stale')
+def step_fresh(context, low, high):
+    fresh = sum(not call.may_be_stale for call in context.calls)
+    assert low <= fresh <= high, fresh
--- a/features/steps/node_lost_watch_steps.py
+++ b/features/steps/node_lost_watch_steps.py
@@ -4,7 +4,7 @@
 
 from cumindrift.fleet.call import AnswerTag, StoreItem
 from features.builders.lost_watch import AGENT, SilenceRun, StoreBench
-from features.builders.node_store import KINDS, LinkBench
+from features.builders.node_store import KINDS, LinkBench, agent_entries
 
 
 @given('{count:d} balancers whose watches the store has lost')
@@ -57,6 +57,20 @@
         bench.pass_time(seconds)
 
 
+@given('each of them knows {count:d} agents')
+def step_many_agents(context, count):
+    for bench in context.benches:
+        bench.node.directory.apply_agents(agent_entries(count))
+
+
+@then('at least one balancer applies the manifest')
+def step_one_applied(context):
+    assert any(
+        bench.node.directory.manifest.version == bench.version
+        for bench in context.benches
+    )
+
+
 @then('each balancer applies the manifest')
 def step_applied(context):
     late = [
