--- a/features/builders/lost_watch.py
+++ b/features/builders/lost_watch.py
@@ -12,11 +12,7 @@
 from cumindrift.fleet.context import NodeContext
 from cumindrift.fleet.kind import AGENT_KIND
 from cumindrift.fleet.link import TICK_PERIOD_S, StoreLink
-from cumindrift.platform.documents import (
-    EVACUATION_KIND,
-    MANIFEST_KIND,
-    MANIFEST_NAME,
-)
+from cumindrift.platform.documents import MANIFEST_KIND, MANIFEST_NAME
 from features.builders.node_store import (
     ENTRY,
     MANIFEST,
@@ -30,14 +26,16 @@
 # Longer than a balancer takes to read all kinds at its start.
 START_S = 3.0
 AGENT = 'side-1'
-DATA_CENTRE = 'hel-a'
 # Silences of the store are shorter than a call's timeout, or longer.
 SILENCE_MIN_S, SILENCE_MAX_S = 0.05, 3.0
 # How long the store has to be well before a bound holds.
 SETTLE_S = 4.0
 # A manifest is in force this long after its ack.
 MANIFEST_BOUND_S = 3.0
+# Before a silence, and after it.
 GAP_MIN_S, GAP_MAX_S = 0.2, 9.0
+# When a silence begins that is meant for the watches renewed after a change.
+RENEWING_S = 0.25
 RUN_S = 120.0
 
 
@@ -56,9 +54,7 @@
     def start(self) -> None:
         """Sends the request to the stand-in, unless it would be lost."""
         bench = self.bench
-        is_waiting = 'wait_ms' in self.request.target
-        is_waiting = is_waiting and 'wait_ms=0' not in self.request.target
-        if bench.is_silent or (bench.loses_watches and is_waiting):
+        if bench.is_silent or (bench.loses_watches and self.is_waiting_watch):
             return
         bench.model.answer(
             HttpRequest(
@@ -70,6 +66,13 @@
             self._on_response,
         )
 
+    @property
+    def is_waiting_watch(self) -> bool:
+        """Tells whether the store answers only when there is news."""
+        _before, _, rest = self.request.target.partition('wait_ms=')
+        wait_ms, _, _after = rest.partition('&')
+        return wait_ms not in {'', '0'}
+
     def abort(self) -> None:
         """Ends the exchange."""
         self.is_aborted = True
@@ -122,10 +125,6 @@
         """Writes the entry of an agent."""
         self.model.put(AGENT_KIND, AGENT, ENTRY)
 
-    def evacuate(self) -> None:
-        """Writes the evacuation of a data centre."""
-        self.model.put(EVACUATION_KIND, DATA_CENTRE, {})
-
     def renew_watches(self) -> None:
         """Ends the balancer's watches without news, so that it renews them."""
         self.link.restart_watches('renewed by the test')
@@ -189,7 +188,7 @@
             bench.put_manifest()
             self._acked_s = bench.now_s
             is_renewing = self.random.random() < 1 / 2
-            self._pass_time(0.25 if is_renewing else self._draw_gap_s())
+            self._pass_time(RENEWING_S if is_renewing else self._draw_gap_s())
             bench.is_silent = True
             self._pass_time(self._draw_silence_s())
             bench.is_silent = False
