Checks of copies: names and comments that needed a second reading

The number 16 by which balancers share the checks of the manifest that are not stale is now called what it is, checks in a period over all balancers, with its reason; its minimum, the check methods, the decorator of watched kinds and the bound of manifests are told in plainer words. No behaviour changes.

--- a/cumindrift/fleet/balancer_store.py
+++ b/cumindrift/fleet/balancer_store.py
@@ -28,10 +28,11 @@
 EVACUATION_CHECK_SHARE = 0.4
 # The same for a manifest; the rest is also for a call that has to be repeated.
 MANIFEST_CHECK_SHARE = 0.6
-# Up to so many agents, no check of the manifest is stale. With more of them
-# there are more balancers, and any that knows a manifest tells the others.
-AGENTS_OF_FRESH_CHECKS = 16
-# The least share of checks of the manifest that are not stale.
+# How many checks of the manifest in each period are not stale, over all
+# balancers, if there are as many balancers as agents. One of them is enough: a
+# balancer that knows a manifest tells the others.
+FRESH_CHECKS_PER_PERIOD = 16
+# For deployments with far fewer balancers than agents.
 FRESH_SHARE_MIN = 0.1
 # No bound says when an agent has to be known. Its target serves nobody before.
 AGENT_CHECK_PERIOD_S = 4.0
@@ -52,8 +53,8 @@
 
     Each of them costs the store ten stale ones, and counts against its rate.
     """
-    agents = max(len(context.directory.agents), AGENTS_OF_FRESH_CHECKS)
-    return max(AGENTS_OF_FRESH_CHECKS / agents, FRESH_SHARE_MIN)
+    agents = max(len(context.directory.agents), FRESH_CHECKS_PER_PERIOD)
+    return max(FRESH_CHECKS_PER_PERIOD / agents, FRESH_SHARE_MIN)
 
 
 def agent_check_s(_bounds: NodeBounds) -> float:
--- a/cumindrift/fleet/check_method.py
+++ b/cumindrift/fleet/check_method.py
@@ -8,12 +8,12 @@
 
 
 class CheckMethod(Protocol):
-    """One way; it keeps no state."""
+    """A way to check a copy; it keeps no state between calls."""
 
     def build_call(
         self, watcher: KindWatcher, *, may_be_stale: bool
     ) -> StoreCall:
-        """Returns the call that asks the store."""
+        """Returns the call whose answer shows what the copy lacks."""
 
     def catch_up(
         self,
@@ -22,7 +22,7 @@
         answer: StoreAnswer,
         now_s: float,
     ) -> bool:
-        """Gives the copy what the answer has; tells whether it lacked that."""
+        """Brings the copy up to date; tells whether it lacked a change."""
 
 
 check_methods: Registry[type[CheckMethod]] = Registry('check method')
--- a/cumindrift/fleet/settings.py
+++ b/cumindrift/fleet/settings.py
@@ -22,7 +22,7 @@
     cold_rate_slack: float = 5.0
     # An evacuation is in force this long after the store has accepted it.
     evacuation_delay_s: float = 5.0
-    # So is a manifest.
+    # A manifest is in force this long after the store has accepted it.
     manifest_delay_s: float = 3.0
 
 
--- a/cumindrift/fleet/watched_kind.py
+++ b/cumindrift/fleet/watched_kind.py
@@ -57,11 +57,11 @@
 def watches(
     kind: str, *, batch_delay_s: float, check: CheckPlan
 ) -> Callable[[Apply], Apply]:
-    """Returns a decorator that has a function applied to copies of a kind.
+    """Returns a decorator of the function that applies a kind's new copies.
 
     Example::
 
-        @watches('config', batch_delay_s=0.3, check=MANIFEST_CHECK)
+        @watches('config', batch_delay_s=0.3, check=CheckPlan('list', period_s))
         def apply_manifest(context, objects): ...
     """
 
