Balancers renew their watches of the evacuations at different moments

Cause: it had no pause after a change, so that all balancers renewed it at the same moment, and a short silence just then took it from all of them.

Change: the pause is 0.3 to 0.6 s, drawn at random, as for manifests. A change is still heard at once; another one within the pause is heard at its end, in 5 s that an evacuation may take.

Measured, node_lost_watch.feature: before, all 100 balancers renew at the same moment; after, no 0.1 s has more than half of them.

--- a/cumindrift/fleet/balancer_store.py
+++ b/cumindrift/fleet/balancer_store.py
@@ -23,6 +23,7 @@
 
 MANIFEST_BATCH_DELAY_S = 0.3
 AGENT_BATCH_DELAY_S = 0.5
+EVACUATION_BATCH_DELAY_S = 0.3
 # The part of the time to apply an evacuation after which its watch is checked;
 # the rest is for a list that is some seconds old.
 EVACUATION_CHECK_SHARE = 0.4
@@ -132,7 +133,7 @@
 
 @watches(
     EVACUATION_KIND,
-    batch_delay_s=0.0,
+    batch_delay_s=EVACUATION_BATCH_DELAY_S,
     check=CheckPlan('list', evacuation_check_s),
 )
 def apply_evacuations(context: NodeContext, objects: Objects) -> None:
--- a/features/node_lost_watch.feature
+++ b/features/node_lost_watch.feature
@@ -68,3 +68,4 @@
       | kind        | window |
       | manifest    | 0.1    |
       | agents      | 0.1    |
+      | evacuations | 0.1    |
