Nodes judge targets by what they do, if the deployment asks for it

Cause: a target that resets the flows it has accepted looked idle and fast and drew the next flows; an agent admitted whatever came first, and counted no flow whose request had not come; SYNs that could not be served waited up to 1 s. Change: outlier detection and admission by priority at agents, early refusal at balancers, where the settings name the contract 'health'. Frames carry the priority of a route, whether its requests are idempotent, and whether an ejection is overridden.

--- a/cumindrift/fleet/manifest.py
+++ b/cumindrift/fleet/manifest.py
@@ -21,11 +21,13 @@
         time_limit_s: A client waits no longer than this for a response.
         target_latency_s: A response that takes longer is late.
         priority: Requests with a lower number are served first.
+        is_idempotent: The requests may run more than once.
     """
 
     time_limit_s: float = 2.0
     target_latency_s: float = 0.5
     priority: int = 0
+    is_idempotent: bool = False
 
     @property
     def open_budget_s(self) -> float:
--- a/cumindrift/fleet/settings.py
+++ b/cumindrift/fleet/settings.py
@@ -41,7 +41,9 @@
     """The settings of one process on the users' platform.
 
     On a balancer, `packets` receives packets from the routers; clients
-    receive on the same port. `peer` receives messages of other nodes.
+    receive on the same port. `peer` receives messages of other nodes. If
+    `judges_targets` is set, the health that targets report may be wrong, so
+    nodes judge targets by what they do.
     """
 
     role: str
@@ -56,3 +58,4 @@
     heartbeat_s: float
     bounds: NodeBounds
     target: TargetEndpoints | None = None
+    judges_targets: bool = False
--- a/cumindrift/metric.py
+++ b/cumindrift/metric.py
@@ -210,6 +210,21 @@
     ('service',),
     buckets=_DURATION_BUCKETS_S,
 )
+TARGET_EJECTIONS = Counter(
+    'cumindrift_target_ejections',
+    'Ejections of a target that failed the requests it had accepted.',
+    ('service',),
+)
+ROOM_REFUSALS = Counter(
+    'cumindrift_room_refusals',
+    'Flows that an agent refused for want of room, by priority of the route.',
+    ('service', 'priority'),
+)
+EARLY_REFUSALS = Counter(
+    'cumindrift_early_refusals',
+    'SYNs refused early since they would not be served in time.',
+    ('service', 'priority'),
+)
 COPY_AGE = Gauge(
     'cumindrift_copy_age_seconds',
     'Time since the store or a peer confirmed the copy of a kind of objects.',
--- a/cumindrift/platform/documents.py
+++ b/cumindrift/platform/documents.py
@@ -28,6 +28,8 @@
 # Frames carry versions, revisions and incarnations as 64-bit integers.
 NUMBER_MAX = (1 << 63) - 1
 _DAY_S = 86_400
+# Types of routes whose requests may run more than once.
+_IDEMPOTENT_TYPES = ('safe', 'download')
 _MS_PER_S = 1000
 
 
@@ -89,6 +91,7 @@
         min(float(time_limit_ms) / _MS_PER_S, _DAY_S),
         min(float(latency_ms) / _MS_PER_S, _DAY_S),
         int(route.get('priority', usual.priority)),
+        route.get('route_type') in _IDEMPOTENT_TYPES,
     )
 
 
--- a/cumindrift/platform/node_file.py
+++ b/cumindrift/platform/node_file.py
@@ -13,6 +13,8 @@
 
 PATH_VARIABLE = 'CUMINDRIFT_NODE_FILE'
 _MS_PER_S = 1000
+# The contract under which targets may fail while their health is good.
+_HEALTH_CONTRACT = 'health'
 
 
 @define(frozen=True, slots=True, eq=False, repr=False)
@@ -58,9 +60,15 @@
         heartbeat_s=float(raw.get('heartbeat_ms', _MS_PER_S)) / _MS_PER_S,
         bounds=_parse_bounds(raw.get('bounds', {})),
         target=_parse_target(raw, listen),
+        judges_targets=_has_health_contract(raw),
     )
 
 
+def _has_health_contract(raw: dict[str, Any]) -> bool:
+    contracts = raw.get('contracts')
+    return isinstance(contracts, list) and _HEALTH_CONTRACT in contracts
+
+
 def _parse_bounds(raw: dict[str, Any]) -> NodeBounds:
     defaults = NodeBounds()
     evacuation_ms = defaults.evacuation_delay_s * _MS_PER_S
--- a/cumindrift/steering/agent/core.py
+++ b/cumindrift/steering/agent/core.py
@@ -112,6 +112,7 @@
         target = self.state.target
         earlier = target.last_heartbeat
         effect = target.on_heartbeat(heartbeat, now_s)
+        self.state.table.work.slots = target.slots
         self.crash_recovery.reset_lost_flows()
         if effect is not HeartbeatEffect.SAME:
             self.state.events.note(
@@ -181,7 +182,7 @@
         ]
         if now_s >= self._next_cleanup_s:
             self._next_cleanup_s = now_s + CLEANUP_PERIOD_S
-            self.state.table.work.drop_stale(now_s)
+            self.state.drop_stale_work(now_s)
             self.coordinator.expire(now_s)
             self.holder_records.tick(now_s)
         if now_s >= self._next_expiry_s:
@@ -223,7 +224,9 @@
         if is_new_origin or forwarded.kind is FrameKind.SEARCH:
             flow.origin_ip = forwarded.origin_ip
             state.send_report(forwarded.origin_ip, FrameKind.HELD, key)
-        state.table.on_client_packet(flow, packet, now_s)
+        abandoned = state.table.on_client_packet(flow, packet, now_s)
+        if abandoned is not None and abandoned.is_late(now_s):
+            state.on_request_failed(now_s)
         if packet.payload_bytes:
             self.liveness.on_data(now_s)
         state.output.deliver(packet.octets)
@@ -269,6 +272,7 @@
         """
         key = packet.flow_key
         state = self.state
+        is_unanswered = state.table.work.is_in_progress(key)
         flow = state.table.remove(key)
         self.opener.forget(key)
         state.log_decision(
@@ -284,6 +288,8 @@
             state.output.answer(key, packet.octets)
             state.send_report(flow.origin_ip, FrameKind.ENDED, key)
             self.liveness.on_flow_reset(now_s)
+            if is_unanswered:
+                state.on_request_failed(now_s)
         elif flow.is_assumed:
             self._return_for_search(key, flow, flow.client_packet)
         else:
@@ -302,6 +308,7 @@
         taken_s = state.table.on_target_packet(flow, packet, now_s)
         if taken_s is not None:
             RESPONSE_SECONDS.labels(state.service).observe(taken_s)
+            state.on_request_answered(now_s)
         if packet.is_syn_ack:
             self.opener.forget(key)
             state.send_report(flow.origin_ip, FrameKind.HELD, key)
--- a/cumindrift/steering/agent/failures.py
+++ b/cumindrift/steering/agent/failures.py
@@ -16,6 +16,8 @@
 # failure that counts, and at the most.
 PENALTY_PERCENT = 100
 PENALTY_PERCENT_MAX = 400
+# What an agent reports while its target is ejected.
+EJECTED_PERCENT = 1000
 
 
 @define(slots=True, eq=False, repr=False)
--- a/cumindrift/steering/agent/flow.py
+++ b/cumindrift/steering/agent/flow.py
@@ -3,7 +3,7 @@
 from attrs import define, field
 
 from cumindrift.fleet.manifest import DEFAULT_LIMITS, RequestLimits
-from cumindrift.steering.agent.work import WorkTracker
+from cumindrift.steering.agent.work import Request, WorkTracker
 from cumindrift.steering.frame import ForwardedPacket
 from cumindrift.steering.packet import (
     OPEN_ATTEMPT_S,
@@ -107,10 +107,11 @@
 
     def on_client_packet(
         self, flow: Flow, packet: FlowPacket, now_s: float
-    ) -> None:
+    ) -> Request | None:
         """Records a client's packet; new data starts a request.
 
-        A client that closes or resets its flow waits for no response.
+        A client that closes or resets its flow waits for no response. Returns
+        the request that it abandons, if any.
         """
         flow.seen_s = now_s
         flow.client_packet = packet
@@ -118,10 +119,11 @@
             flow.has_client_closed = True
             self.open_count -= flow.is_closed
         if packet.is_fin or packet.is_reset:
-            self.work.end(packet.flow_key)
-        elif self._is_new_data(flow, packet):
+            return self.work.end(packet.flow_key)
+        if self._is_new_data(flow, packet):
             flow.client_sequence = packet.sequence
             self.work.begin(packet.flow_key, now_s, flow.limits)
+        return None
 
     def on_target_packet(
         self, flow: Flow, packet: FlowPacket, now_s: float
--- a/cumindrift/steering/agent/opener.py
+++ b/cumindrift/steering/agent/opener.py
@@ -2,8 +2,10 @@
 
 from attrs import define, evolve, field
 
+from cumindrift.metric import ROOM_REFUSALS
 from cumindrift.steering.agent.flow import Flow
 from cumindrift.steering.agent.liveness import LivenessMonitor
+from cumindrift.steering.agent.room import Room
 from cumindrift.steering.agent.state import AgentState
 from cumindrift.steering.agent.target import Refusal
 from cumindrift.steering.frame import (
@@ -17,9 +19,6 @@
 # A target normally answers a SYN within a millisecond; without an answer for
 # this long, it counts as silent.
 OPEN_TIMEOUT_S = 0.1
-# While a target has this many requests per slot, new flows go to another
-# target or wait at the balancer, since further requests would be late.
-WORK_PER_SLOT = 2
 
 
 @define(slots=True, eq=False, repr=False)
@@ -48,6 +47,7 @@
             self._forward_or_refuse(forwarded, packet, refusal)
             return
         state.target.count_open(now_s)
+        state.outlier.on_admitted(now_s)
         if known is not None:
             # It may as well be a late copy of an open flow, which stays.
             self._deliver_again(forwarded, packet, known)
@@ -62,6 +62,7 @@
         flow.client_packet = packet
         flow.limits = forwarded.limits
         state.table.add(key, flow)
+        state.table.work.expect(key, now_s)
         self._waiting[key] = now_s
         state.output.deliver(packet.octets)
 
@@ -122,17 +123,39 @@
             if digest != forwarded.service_digest:
                 return Refusal.OTHER_SERVICE
         refusal = target.refusal(None, forwarded.cold_rate, now_s)
-        if refusal is None and self._is_full(now_s):
-            return Refusal.FULL
-        return refusal
+        if refusal is not None:
+            return refusal
+        is_failing = self.state.outlier.refuses(forwarded.limits, now_s)
+        if is_failing and not forwarded.is_forced:
+            return Refusal.FAILING
+        return None if self._has_room(forwarded, now_s) else Refusal.FULL
 
-    def _is_full(self, now_s: float) -> bool:
+    def _has_room(self, forwarded: ForwardedPacket, now_s: float) -> bool:
+        state = self.state
+        policy = state.room_policy
+        room = self._room(forwarded)
+        has_room = policy.admits(room, now_s)
+        if not has_room:
+            # Requests that are no longer in progress may take up the room.
+            state.drop_stale_work(now_s)
+            room = self._room(forwarded)
+            has_room = policy.admits(room, now_s)
+        policy.record(room, is_admitted=has_room, now_s=now_s)
+        if not has_room:
+            priority = str(room.limits.priority)
+            ROOM_REFUSALS.labels(state.service, priority).inc()
+        return has_room
+
+    def _room(self, forwarded: ForwardedPacket) -> Room:
         work = self.state.table.work
-        room_count = self.state.target.slots * WORK_PER_SLOT
-        room_count -= len(self._waiting)
-        if work.count >= room_count:
-            work.drop_stale(now_s)
-        return work.count >= room_count
+        return Room(
+            self.state.target.slots,
+            work.count,
+            len(self._waiting),
+            work.expected_count,
+            work.expected_response_s(forwarded.limits),
+            forwarded.limits,
+        )
 
     def _forward_or_refuse(
         self,
--- a/cumindrift/steering/agent/state.py
+++ b/cumindrift/steering/agent/state.py
@@ -4,10 +4,16 @@
 
 from attrs import define, field
 
+from cumindrift.metric import TARGET_EJECTIONS
 from cumindrift.steering.agent.evacuation import EvacuationKnowledge
-from cumindrift.steering.agent.failures import FailureHistory
+from cumindrift.steering.agent.failures import (
+    EJECTED_PERCENT,
+    FailureHistory,
+)
 from cumindrift.steering.agent.flow import FlowTable
 from cumindrift.steering.agent.input_age import InputAge
+from cumindrift.steering.agent.outlier import OutlierDetector
+from cumindrift.steering.agent.room import RoomPolicy, room_policies
 from cumindrift.steering.agent.target import TargetState
 from cumindrift.steering.frame import NO_FLOW, AgentReport, FrameKind, Load
 from cumindrift.steering.state import CoreState
@@ -25,6 +31,15 @@
     evacuation: EvacuationKnowledge = field(factory=EvacuationKnowledge)
     input_age: InputAge = field(factory=InputAge)
     failures: FailureHistory = field(factory=FailureHistory)
+    # Whether the agent judges its target by the outcomes of requests.
+    judges_target: bool = False
+    outlier: OutlierDetector = field(factory=OutlierDetector)
+    room_policy: RoomPolicy = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Chooses the policy by which new flows find room."""
+        name = 'by-value' if self.judges_target else 'per-slot'
+        self.room_policy = room_policies.get(name)()
 
     def service_of(self, fields: dict[str, Any]) -> str:
         """Returns the service of the agent's target."""
@@ -47,25 +62,67 @@
         if not ip:
             return
         now_s = self.events.clock()
-        load = Load(
-            self.table.open_count,
-            self.table.work.count,
-            self.table.work.response_ms(now_s),
-            self.target.slots,
-            self.failures.penalty_percent(now_s),
-        )
         report = AgentReport(
             kind,
             key,
             self.target.incarnation,
             self.manifest_version,
             self.target.knows_all_flows or is_authoritative,
-            load,
+            self._load(now_s),
             octets,
             self.evacuation.newest.changed_as_of,
         )
         self.output.send_report(ip, report)
 
+    def on_request_answered(self, now_s: float) -> None:
+        """Records that the target answered a request."""
+        if self.judges_target and self.outlier.on_success(now_s):
+            self.events.note_urgently(
+                'target-returned', ejections=self.outlier.ejection_count
+            )
+
+    def drop_stale_work(self, now_s: float) -> None:
+        """Stops counting requests that nobody waits for any more."""
+        for _ in range(self.table.work.drop_stale(now_s)):
+            self.on_request_failed(now_s)
+
+    def on_request_failed(self, now_s: float) -> None:
+        """Records that the target reset or never answered a request.
+
+        A target that leaves may break off what it cannot finish.
+        """
+        if not self.judges_target or self.target.is_leaving:
+            return
+        if self.outlier.on_failure(now_s):
+            self.failures.add(now_s)
+            TARGET_EJECTIONS.labels(self.service).inc()
+            self.events.note_urgently(
+                'target-ejected',
+                ejections=self.outlier.ejection_count,
+                ejected_s=self.outlier.ejection_s(),
+                busy=self.table.work.count,
+            )
+
+    def _load(self, now_s: float) -> Load:
+        work = self.table.work
+        busy_count = work.count
+        response_ms = work.response_ms(now_s)
+        if self.judges_target:
+            busy_count += work.expected_count
+            response_ms = work.service_ms(now_s)
+        return Load(
+            self.table.open_count,
+            busy_count,
+            response_ms,
+            self.target.slots,
+            self._failure_percent(now_s),
+        )
+
+    def _failure_percent(self, now_s: float) -> int:
+        if self.outlier.is_ejected:
+            return EJECTED_PERCENT
+        return self.failures.penalty_percent(now_s)
+
     def log_evacuation(self, origin_ip: str) -> None:
         """Logs that this agent's data centre was evacuated or is in use."""
         self.events.note_urgently(
--- a/cumindrift/steering/agent/supervisor.py
+++ b/cumindrift/steering/agent/supervisor.py
@@ -39,6 +39,7 @@
         place.service,
         target,
         FlowTable(bounds.flow_lifetime_s, bounds.flow_lifetime_s),
+        judges_target=settings.judges_targets,
     )
     core = AgentCore(state, read_from_client)
     context.core = core
--- a/cumindrift/steering/agent/target.py
+++ b/cumindrift/steering/agent/target.py
@@ -37,6 +37,7 @@
     FULL = 'full'
     EVACUATED = 'evacuated'
     LATE = 'late'
+    FAILING = 'failing'
 
 
 @unique
--- a/cumindrift/steering/balancer/agent_monitor.py
+++ b/cumindrift/steering/balancer/agent_monitor.py
@@ -1,9 +1,15 @@
 """Tracks the load of each agent and whether it answers."""
 
+from collections.abc import Sequence
+
 from attrs import define, field
 
 from cumindrift.fleet.directory import AgentEntry
-from cumindrift.steering.balancer.load import AVOIDED_S, AgentLoad
+from cumindrift.steering.balancer.load import (
+    AVOIDED_S,
+    PENALTY_FADES_S,
+    AgentLoad,
+)
 from cumindrift.steering.balancer.state import BalancerState
 from cumindrift.steering.frame import ForwardedPacket, FrameKind, Load
 
@@ -30,6 +36,8 @@
         found = self.loads.get(ip)
         if found is None:
             found = AgentLoad()
+            if self.state.judges_targets:
+                found.penalty_fades_s = PENALTY_FADES_S
             self.loads[ip] = found
         return found
 
@@ -68,6 +76,19 @@
             return 2
         return int(load.avoided_until_s > now_s)
 
+    def is_mostly_ejected(
+        self, agents: Sequence[AgentEntry], now_s: float
+    ) -> bool:
+        """Returns whether more than half of some agents report an ejection.
+
+        A fault that so many targets share is not mended by avoiding them.
+        """
+        loads = [self.loads.get(entry.ip) for entry in agents]
+        ejected_count = sum(
+            load is not None and load.is_ejected(now_s) for load in loads
+        )
+        return ejected_count * 2 > len(agents)
+
     def is_cut_off(self, now_s: float) -> bool:
         """Returns whether this balancer no longer reaches any agent.
 
--- a/cumindrift/steering/balancer/load.py
+++ b/cumindrift/steering/balancer/load.py
@@ -1,6 +1,7 @@
 """The load of each agent, and policies that choose agents by it."""
 
 from collections.abc import Callable, Sequence
+from math import inf
 from random import Random
 
 from attrs import define, field
@@ -18,6 +19,11 @@
 # Cost factor of agents in another data centre: latency and traffic.
 OTHER_DATA_CENTRE_FACTOR = 1.15
 MS_PER_S = 1000
+# Where targets are judged by what they do, the penalty of a failing one fades
+# within this time after its report, so that it is tried again.
+PENALTY_FADES_S = 4.0
+# A report with at least this penalty says that the target is ejected.
+EJECTED_PERCENT_MIN = 1000
 
 
 @define(slots=True, eq=False, repr=False)
@@ -30,6 +36,8 @@
     avoided_until_s: float = 0.0
     # When the agent first left a SYN unanswered; 0 while it answers.
     silent_since_s: float = 0.0
+    # How long the penalty of a report lasts.
+    penalty_fades_s: float = inf
 
     def update(self, report: Load, now_s: float) -> None:
         """Applies a report, which includes all flows sent before it."""
@@ -53,7 +61,19 @@
         flows = report.flow_count + self.sent_count
         work = min(report.busy_count, slots) + queued + self.sent_count
         estimate_ms = response_ms * (1 + (work + flows / 4) / slots)
-        return estimate_ms * (1 + report.failure_percent / 100)
+        return estimate_ms * (1 + self.penalty_percent(now_s) / 100)
+
+    def penalty_percent(self, now_s: float) -> float:
+        """Returns what is left of the last report's penalty."""
+        age_s = now_s - self.reported_s
+        left = max(1 - age_s / self.penalty_fades_s, 0.0)
+        return self.last_report.failure_percent * left
+
+    def is_ejected(self, now_s: float) -> bool:
+        """Returns whether a recent report says that the target is ejected."""
+        is_recent = now_s - self.reported_s < self.penalty_fades_s
+        is_failing = self.last_report.failure_percent >= EJECTED_PERCENT_MIN
+        return is_recent and is_failing
 
 
 # Orders the agents of a service for one new flow, best first, by their loads,
--- a/cumindrift/steering/balancer/open_queue.py
+++ b/cumindrift/steering/balancer/open_queue.py
@@ -6,6 +6,7 @@
 
 from cumindrift.registry import Registry
 from cumindrift.steering.balancer.hint import Hint
+from cumindrift.steering.balancer.outlook import QueueOutlook
 
 # More SYNs of one service than this do not wait; the least urgent are refused.
 QUEUED_MAX = 256
@@ -49,8 +50,10 @@
     agent again and again, which costs most when the targets have least room.
     """
 
+    service: str = ''
     order: QueueOrder = order_by_priority
     window: int = WINDOW_MIN
+    outlook: QueueOutlook = field(factory=QueueOutlook)
     _queued: dict[bytes, Hint] = field(factory=dict)
     _tried: set[bytes] = field(factory=set)
 
@@ -59,6 +62,12 @@
         """Returns whether SYNs wait or are tried again."""
         return bool(self._queued or self._tried)
 
+    def has_waiting_before(self, priority: int) -> bool:
+        """Returns whether a SYN waits that is at least as urgent."""
+        return any(
+            hint.limits.priority <= priority for hint in self._queued.values()
+        )
+
     def holds(self, key: bytes) -> bool:
         """Returns whether a SYN waits here."""
         return key in self._queued
@@ -112,5 +121,14 @@
             if now_s >= hint.deadline_s
         ]
 
+    def held_too_long(self, now_s: float) -> list[bytes]:
+        """Returns the waiting SYNs that have no prospect of being served."""
+        late = []
+        for key, hint in self._queued.items():
+            held_s = self.outlook.held_s(hint.limits, now_s)
+            if held_s is not None and now_s - hint.first_sent_s > held_s:
+                late.append(key)
+        return late
+
     def _rank(self, key: bytes) -> tuple[float, ...]:
         return self.order(self._queued[key])
--- /dev/null
+++ b/cumindrift/steering/balancer/outlook.py
@@ -0,0 +1,97 @@
+"""Tells whether a SYN that waits at a balancer can still be served in time."""
+
+from collections.abc import Callable
+
+from attrs import define, field
+
+from cumindrift.fleet.manifest import RequestLimits
+from cumindrift.steering.decay import DecayingCount
+
+RATE_HALF_LIFE_S = 0.5
+# A service is overloaded if this many times more SYNs come than find room. A
+# smaller difference is common noise.
+OVERLOAD_RATIO = 1.1
+# If no SYN has found room for this long, the service is down rather than
+# overloaded. Targets that restart are back soon, so its SYNs are held.
+DOWN_AFTER_S = 0.1
+# The same in mean intervals between SYNs that find room, for services with
+# few flows.
+DOWN_AFTER_INTERVALS = 4
+# A SYN that waits for an overloaded service is held for this share of its
+# route's target latency.
+HELD_SHARE = 0.25
+
+
+def _rate_factory() -> DecayingCount:
+    return DecayingCount(RATE_HALF_LIFE_S)
+
+
+@define(slots=True, eq=False, repr=False)
+class QueueOutlook:
+    """Measures how many SYNs of one service come, and how many find room.
+
+    Under overload, the SYNs of the lower priorities wait in vain: more urgent
+    ones and newer ones are served before them. They are refused early, while a
+    retry of their client could still be in time.
+    """
+
+    _arrived: dict[int, DecayingCount] = field(factory=dict)
+    _opened: DecayingCount = field(factory=_rate_factory)
+    _opened_s: float = 0.0
+    _is_overloaded: bool = False
+
+    def on_arrived(self, limits: RequestLimits, now_s: float) -> None:
+        """Records a client's first SYN of a flow."""
+        count = self._arrived.setdefault(limits.priority, _rate_factory())
+        count.add(now_s)
+
+    def on_opened(self, now_s: float) -> None:
+        """Records that a target took a flow."""
+        self._opened.add(now_s)
+        self._opened_s = now_s
+
+    def is_overloaded(self, priority: int, now_s: float) -> bool:
+        """Returns whether SYNs up to this priority come faster than they go."""
+        opened_count = self._opened.at(now_s)
+        if self._is_down(opened_count, now_s):
+            return False
+        return self.arrived_count(priority, now_s) > (
+            opened_count * OVERLOAD_RATIO
+        )
+
+    def held_s(self, limits: RequestLimits, now_s: float) -> float | None:
+        """Returns how long a SYN may wait; None if it may use its budget."""
+        if self.is_overloaded(limits.priority, now_s):
+            return limits.target_latency_s * HELD_SHARE
+        return None
+
+    def arrived_count(self, priority: int, now_s: float) -> float:
+        """Returns the decaying count of SYNs that are at least as urgent."""
+        return sum(
+            count.at(now_s)
+            for known, count in self._arrived.items()
+            if known <= priority
+        )
+
+    def note_change(
+        self, note: Callable[..., None], service: str, now_s: float
+    ) -> None:
+        """Logs the beginning and the end of an overload."""
+        lowest = max(self._arrived, default=0)
+        is_overloaded = self.is_overloaded(lowest, now_s)
+        if is_overloaded == self._is_overloaded:
+            return
+        self._is_overloaded = is_overloaded
+        note(
+            'queue-overloaded' if is_overloaded else 'queue-relieved',
+            service=service,
+            arrived=round(self.arrived_count(lowest, now_s), 1),
+            opened=round(self._opened.at(now_s), 1),
+        )
+
+    def _is_down(self, opened_count: float, now_s: float) -> bool:
+        if not opened_count:
+            return True
+        interval_s = RATE_HALF_LIFE_S / opened_count
+        down_after_s = max(DOWN_AFTER_S, interval_s * DOWN_AFTER_INTERVALS)
+        return now_s - self._opened_s > down_after_s
--- a/cumindrift/steering/balancer/placer.py
+++ b/cumindrift/steering/balancer/placer.py
@@ -9,6 +9,7 @@
 from cumindrift.code import ResultCode
 from cumindrift.fleet.directory import AgentEntry
 from cumindrift.fleet.manifest import pick_service
+from cumindrift.metric import EARLY_REFUSALS
 from cumindrift.steering.balancer.agent_monitor import AgentMonitor
 from cumindrift.steering.balancer.hint import Hint
 from cumindrift.steering.balancer.load import (
@@ -76,6 +77,8 @@
         """Handles the report that an agent holds the flow."""
         hint = self.waiting.pop(key, None)
         queue = self._queue_of(hint)
+        if queue is not None:
+            queue.outlook.on_opened(now_s)
         if queue is not None and queue.is_tried(key):
             queue.on_opened(key)
             self._retry_queued(queue, now_s)
@@ -112,16 +115,21 @@
                 self._abandon(key, hint)
             elif now_s - hint.sent_s >= AGENT_TIMEOUT_S:
                 self._retry(key, hint, now_s)
+        self._tick_queues(now_s)
+        has_queued = any(queue.has_waiting for queue in self.queues.values())
+        return bool(self.waiting) or has_queued
+
+    def _tick_queues(self, now_s: float) -> None:
         is_retry_due = now_s >= self._next_retry_s
         if is_retry_due:
             self._next_retry_s = now_s + OPEN_RETRY_S
         for queue in self.queues.values():
             self._refuse_expired(queue, now_s)
+            if self.state.judges_targets:
+                self._refuse_early(queue, now_s)
             if is_retry_due:
                 queue.keep_tried(self.waiting)
                 self._retry_queued(queue, now_s)
-        has_queued = any(queue.has_waiting for queue in self.queues.values())
-        return bool(self.waiting) or has_queued
 
     def _start(self, packet: FlowPacket, hint: Hint, now_s: float) -> None:
         """Chooses the service of a new flow, and places or queues its SYN."""
@@ -136,14 +144,21 @@
         hint.limits = manifest.limits_at(endpoint)
         budget_s = min(hint.limits.open_budget_s, OPEN_WAIT_MAX_S)
         hint.deadline_s = now_s + budget_s
-        queue = self.queues.get(hint.service)
-        if queue is None or not queue.has_waiting:
+        queue = self.queues.setdefault(hint.service, OpenQueue(hint.service))
+        queue.outlook.on_arrived(hint.limits, now_s)
+        if not self._must_wait(queue, hint):
             self._place(packet, hint, now_s)
             return
         # Others wait already: their order decides, not who comes now.
         self._enqueue(packet, hint)
         self._retry_queued(queue, now_s)
 
+    def _must_wait(self, queue: OpenQueue, hint: Hint) -> bool:
+        """Returns whether others that wait are to be served first."""
+        if self.state.judges_targets:
+            return queue.has_waiting_before(hint.limits.priority)
+        return queue.has_waiting
+
     def _place(self, packet: FlowPacket, hint: Hint, now_s: float) -> None:
         """Sends a SYN to the best agent that has not got it yet."""
         key = packet.flow_key
@@ -206,7 +221,7 @@
         its deadline, the SYN is refused.
         """
         key = packet.flow_key
-        queue = self.queues.setdefault(hint.service, OpenQueue())
+        queue = self.queues[hint.service]
         queue.on_refused(key)
         self.waiting.pop(key, None)
         hint.tried.clear()
@@ -236,6 +251,20 @@
             if hint is not None:
                 self._give_up(hint)
 
+    def _refuse_early(self, queue: OpenQueue, now_s: float) -> None:
+        """Refuses the SYNs that are overtaken by others until they are late."""
+        queue.outlook.note_change(
+            self.state.events.note_urgently, queue.service, now_s
+        )
+        for key in queue.held_too_long(now_s):
+            hint = self.state.hints.get(key)
+            if hint is None:
+                queue.drop(key)
+                continue
+            priority = str(hint.limits.priority)
+            EARLY_REFUSALS.labels(queue.service, priority).inc()
+            self._give_up(hint)
+
     def _give_up(self, hint: Hint) -> None:
         """Refuses a SYN that waits, unless it may be open by another way.
 
@@ -267,6 +296,13 @@
         if queue is not None:
             queue.on_refused(key)
 
+    def _is_forced(self, hint: Hint) -> bool:
+        """Returns whether agents take a SYN even for an ejected target."""
+        state = self.state
+        return state.judges_targets and self.agent_monitor.is_mostly_ejected(
+            state.directory.agents_of(hint.service), state.events.clock()
+        )
+
     def _agents(self, hint: Hint, now_s: float) -> list[AgentEntry]:
         """Returns the untried agents, best first.
 
@@ -352,5 +388,6 @@
             candidate_ips=candidate_ips,
             keeper_ips=self.state.directory.keepers_of(packet.flow_key),
             limits=hint.limits,
+            is_forced=self._is_forced(hint),
         )
         self.state.forward(hint.agent_ip, forwarded)
--- a/cumindrift/steering/balancer/state.py
+++ b/cumindrift/steering/balancer/state.py
@@ -15,6 +15,8 @@
 
     data_centre: str
     directory: Directory
+    # Whether targets are judged by what they do, not by what they report.
+    judges_targets: bool = False
     hints: HintTable = field(factory=HintTable, kw_only=True)
 
     def forward(self, ip: str, forwarded: ForwardedPacket) -> None:
--- a/cumindrift/steering/balancer/supervisor.py
+++ b/cumindrift/steering/balancer/supervisor.py
@@ -33,6 +33,7 @@
         context.events,
         settings.data_centre,
         context.directory,
+        settings.judges_targets,
     )
     core = BalancerCore(
         state,
--- a/cumindrift/steering/frame.py
+++ b/cumindrift/steering/frame.py
@@ -16,7 +16,7 @@
 from cumindrift.steering.packet import FLOW_KEY_BYTES
 
 HOPS_MAX = 8
-_FORWARDED_HEADER = Struct('>BBB?4sQQIfHqqff')
+_FORWARDED_HEADER = Struct('>BBBB4sQQIfHqqffB')
 _REPORT_HEADER = Struct(f'>BBH{FLOW_KEY_BYTES}sQQHHHHq')
 _IP_BYTES = 4
 # The flow key of reports that concern no flow, such as PONG.
@@ -24,6 +24,12 @@
 # Raised by decoding octets that are not a valid frame.
 DECODE_ERRORS = (IndexError, ValueError, OSError, error)
 _COUNT_MAX = 0xFFFF
+# Frames carry the priority of a route in one octet.
+PRIORITY_MAX = 0xFF
+# Bits of the flags of a forwarded packet.
+_EVACUATED_FLAG = 1
+_FORCED_FLAG = 2
+_IDEMPOTENT_FLAG = 4
 
 
 @unique
@@ -80,8 +86,9 @@
             decided.
         is_evacuated: Whether that copy names the data centre of the agent
             to which the balancer sent the frame.
-        limits: The limits of the requests on the flow's route, of which a
-            frame has the times only.
+        is_forced: The target gets the SYN although its agent has ejected
+            it, since too many targets of the service are ejected.
+        limits: The limits of the requests on the flow's route.
         sender_ip: The node that sent this hop. It is taken from the
             datagram's source address and not part of the frame.
     """
@@ -98,6 +105,7 @@
     keeper_ips: tuple[str, ...] = ()
     evacuations: CopyStamp = NO_COPY
     is_evacuated: bool = False
+    is_forced: bool = False
     limits: RequestLimits = DEFAULT_LIMITS
     sender_ip: str = ''
 
@@ -144,7 +152,7 @@
         forwarded.kind,
         forwarded.hop_count,
         len(forwarded.keeper_ips),
-        forwarded.is_evacuated,
+        _encode_flags(forwarded),
         inet_aton(forwarded.origin_ip),
         forwarded.incarnation,
         forwarded.manifest_version,
@@ -155,6 +163,7 @@
         forwarded.evacuations.changed_as_of,
         forwarded.limits.time_limit_s,
         forwarded.limits.target_latency_s,
+        min(max(forwarded.limits.priority, 0), PRIORITY_MAX),
     )
     ips = forwarded.candidate_ips + forwarded.keeper_ips
     if ips:
@@ -191,6 +200,15 @@
         return None
 
 
+def _encode_flags(forwarded: ForwardedPacket) -> int:
+    flags = _EVACUATED_FLAG if forwarded.is_evacuated else 0
+    if forwarded.is_forced:
+        flags |= _FORCED_FLAG
+    if forwarded.limits.is_idempotent:
+        flags |= _IDEMPOTENT_FLAG
+    return flags
+
+
 def _decode_forwarded(octets: bytes) -> ForwardedPacket:
     head = _FORWARDED_HEADER.unpack_from(octets)
     start = _FORWARDED_HEADER.size
@@ -212,8 +230,11 @@
         ips[:candidate_count],
         ips[candidate_count:],
         CopyStamp(head[10], head[11]),
-        head[3],
-        RequestLimits(head[12], head[13]),
+        bool(head[3] & _EVACUATED_FLAG),
+        bool(head[3] & _FORCED_FLAG),
+        RequestLimits(
+            head[12], head[13], head[14], bool(head[3] & _IDEMPOTENT_FLAG)
+        ),
     )
 
 
--- a/lab/emulator/node.py
+++ b/lab/emulator/node.py
@@ -174,7 +174,7 @@
             state, read_from_client, service_endpoint, self.random
         )
         core.placer.queues[SERVICE] = OpenQueue(
-            queue_orders.get(self.queue_order)
+            SERVICE, queue_orders.get(self.queue_order)
         )
         self.network.at(self.network.now_s + STORE_DELAY_S, self.read_store)
         return core
