--- a/features/steps/metrics_steps.py
+++ b/features/steps/metrics_steps.py
@@ -11,6 +11,7 @@
 BOUNDED_LABELS = {
     'team', 'service', 'code', 'direction', 'invariant', 'kind', 'state',
     'outcome', 'reason', 'stage', 'supervisor', 'decision', 'verb', 'result',
+    'priority',
 }  # fmt: skip
 
 
