--- a/features/builders/core.py
+++ b/features/builders/core.py
@@ -129,8 +129,8 @@
         return [report.kind.name for _, report in self.reports]
 
 
-def logged_lines(events: EventLog, event: str) -> list[dict[str, Any]]:
-    """Flushes a log; returns its lines about an event."""
+def logged_lines(events: EventLog, event: str = '') -> list[dict[str, Any]]:
+    """Flushes a log; returns its lines about an event, or all."""
     lines: list[dict[str, Any]] = []
 
     def keep(octets: bytes) -> int:
@@ -139,7 +139,7 @@
 
     events.write = keep
     events.flush()
-    return [line for line in lines if line['event'] == event]
+    return [line for line in lines if event in {'', line['event']}]
 
 
 @define(slots=True, eq=False)
@@ -148,6 +148,7 @@
 
     is_first_start: bool = True
     started_ms: int = 0
+    judges_target: bool = False
     now_s: float = 100.0
     output: RecordingOutput = field(factory=RecordingOutput)
     events: EventLog = field(init=False)
@@ -169,6 +170,7 @@
             SERVICE,
             target,
             FlowTable(60.0, 60.0),
+            judges_target=self.judges_target,
             output=self.output,
         )
         self.core = AgentCore(state, read_from_client)
@@ -189,11 +191,19 @@
         self, port: int = 40001, limits: RequestLimits = DEFAULT_LIMITS
     ) -> None:
         """Opens a flow with a complete handshake, which sends a request."""
-        self.receive(opening(port, limits=limits))
-        self.from_target(target_packet(SYN | ACK, port=port))
+        self.shake_hands(port, limits=limits)
         self.send_data(FrameKind.TO_HOLDER, port=port)
         self.output.clear()
 
+    def shake_hands(self, port: int, **changes: Any) -> bool:
+        """Opens a flow without a request; returns whether it was admitted."""
+        self.output.clear()
+        self.receive(opening(port, **changes))
+        if not self.output.delivered:
+            return False
+        self.from_target(target_packet(SYN | ACK, port=port))
+        return True
+
     def send_data(
         self,
         kind: FrameKind,
@@ -228,6 +238,7 @@
     """A balancer's core that knows some agents, with a simulated clock."""
 
     agent_count: int = 3
+    judges_targets: bool = False
     now_s: float = 100.0
     output: RecordingOutput = field(factory=RecordingOutput)
     directory: Directory = field(factory=Directory)
@@ -244,6 +255,7 @@
             self.events,
             'hel-a',
             self.directory,
+            self.judges_targets,
             output=self.output,
         )
         self.core = BalancerCore(
