Placement: ranking of agents in a module of its own

Cause: the order in which agents are offered a SYN was a private method that changed state on the way, so nothing else could tell it. Change: AgentRanking orders the agents and decides whether a SYN is forced; the cost, the wait budget, the hint of a flow and the rule of who waits first are functions without side effects. Asking whether an agent is silent no longer creates its load.

--- a/cumindrift/fleet/manifest.py
+++ b/cumindrift/fleet/manifest.py
@@ -76,3 +76,14 @@
         if left < 0:
             return share.service
     return shares[-1].service
+
+
+def fractions_of(shares: tuple[WeightedService, ...]) -> list[float]:
+    """Returns the fraction of the new flows that each service gets.
+
+    Without any weight, the first service gets all.
+    """
+    total = sum(share.weight for share in shares)
+    if total <= 0:
+        return [float(share is shares[0]) for share in shares]
+    return [share.weight / total for share in shares]
--- a/cumindrift/platform/packet.py
+++ b/cumindrift/platform/packet.py
@@ -1,5 +1,6 @@
 """Reads and writes packet headers of the users' fabric."""
 
+from ipaddress import IPv4Address
 from struct import Struct
 
 from cumindrift.address import Endpoint
@@ -67,6 +68,18 @@
     return Endpoint(ip, int.from_bytes(flow_key[6:8]))
 
 
+def flow_key_of(client: Endpoint, service: Endpoint) -> bytes:
+    """Returns the flow key of a client's endpoint and a service address."""
+    return b''.join(
+        (
+            client.port.to_bytes(2),
+            IPv4Address(service.ip).packed,
+            service.port.to_bytes(2),
+            IPv4Address(client.ip).packed,
+        )
+    )
+
+
 def format_flow_key(flow_key: bytes) -> str:
     """Returns a flow key as text for logs: client, then service."""
     client = f'{client_ip(flow_key)}:{int.from_bytes(flow_key[:2])}'
--- a/cumindrift/steering/balancer/agent_monitor.py
+++ b/cumindrift/steering/balancer/agent_monitor.py
@@ -65,7 +65,8 @@
 
     def is_silent(self, ip: str) -> bool:
         """Returns whether an agent has an answer outstanding."""
-        return self.load_of(ip).silent_since_s > 0
+        known = self.loads.get(ip)
+        return known is not None and known.silent_since_s > 0
 
     def unavailability_rank(self, entry: AgentEntry, now_s: float) -> int:
         """Returns 2 for silent agents, 1 for avoided ones and 0 for others."""
--- a/cumindrift/steering/balancer/load.py
+++ b/cumindrift/steering/balancer/load.py
@@ -1,6 +1,6 @@
 """The load of each agent, and policies that choose agents by it."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from math import inf
 from random import Random
 
@@ -18,6 +18,9 @@
 UNKNOWN_RESPONSE_MS = 50
 # Cost factor of agents in another data centre: latency and traffic.
 OTHER_DATA_CENTRE_FACTOR = 1.15
+# A random share of the cost, up to this one, is added for each SYN, so that
+# balancers with the same reports do not all choose the same agent.
+COST_SPREAD = 1 / 16
 MS_PER_S = 1000
 # Where targets are judged by what they do, the penalty of a failing one fades
 # within this time after its report, so that it is tried again.
@@ -76,6 +79,20 @@
         return is_recent and is_failing
 
 
+def estimate_cost_ms(
+    entry: AgentEntry,
+    loads: Mapping[str, AgentLoad],
+    data_centre: str,
+    now_s: float,
+) -> float:
+    """Returns an agent's cost to a balancer in `data_centre`, in ms."""
+    known = loads.get(entry.ip)
+    estimate = known.cost(now_s) if known else UNKNOWN_RESPONSE_MS
+    if entry.data_centre != data_centre:
+        estimate *= OTHER_DATA_CENTRE_FACTOR
+    return estimate
+
+
 # Orders the agents of a service for one new flow, best first, by their loads,
 # the balancer's data centre, a source of randomness and the time.
 OpenPolicy = Callable[
@@ -96,11 +113,8 @@
     """Orders the agents by the estimated response time of their targets."""
 
     def cost(entry: AgentEntry) -> float:
-        known = loads.get(entry.ip)
-        estimate = known.cost(now_s) if known else UNKNOWN_RESPONSE_MS
-        if entry.data_centre != data_centre:
-            estimate *= OTHER_DATA_CENTRE_FACTOR
-        return estimate * (1 + random.random() / 16)
+        estimate = estimate_cost_ms(entry, loads, data_centre, now_s)
+        return estimate * (1 + random.random() * COST_SPREAD)
 
     return sorted(agents, key=cost)
 
--- a/cumindrift/steering/balancer/open_queue.py
+++ b/cumindrift/steering/balancer/open_queue.py
@@ -62,6 +62,16 @@
         """Returns whether SYNs wait or are tried again."""
         return bool(self._queued or self._tried)
 
+    @property
+    def waiting_count(self) -> int:
+        """Returns how many SYNs wait, without those that are tried again."""
+        return len(self._queued)
+
+    @property
+    def tried_count(self) -> int:
+        """Returns how many SYNs of the queue are being tried."""
+        return len(self._tried)
+
     def has_waiting_before(self, priority: int) -> bool:
         """Returns whether a SYN waits that is at least as urgent."""
         return any(
--- a/cumindrift/steering/balancer/placer.py
+++ b/cumindrift/steering/balancer/placer.py
@@ -3,21 +3,18 @@
 from collections.abc import Callable
 from random import Random
 
-from attrs import define, field
+from attrs import Factory, define, field
 
 from cumindrift.address import Endpoint
 from cumindrift.code import ResultCode
 from cumindrift.fleet.directory import AgentEntry
-from cumindrift.fleet.manifest import pick_service
+from cumindrift.fleet.manifest import RequestLimits, pick_service
 from cumindrift.metric import EARLY_REFUSALS
 from cumindrift.steering.balancer.agent_monitor import AgentMonitor
 from cumindrift.steering.balancer.hint import Hint
-from cumindrift.steering.balancer.load import (
-    CANDIDATES_MAX,
-    OpenPolicy,
-    order_by_load,
-)
+from cumindrift.steering.balancer.load import CANDIDATES_MAX
 from cumindrift.steering.balancer.open_queue import OpenQueue
+from cumindrift.steering.balancer.ranking import AgentRanking
 from cumindrift.steering.balancer.state import BalancerState
 from cumindrift.steering.frame import ForwardedPacket, FrameKind, service_digest
 from cumindrift.steering.packet import FlowPacket, expected_syn_count
@@ -36,6 +33,11 @@
 QUEUED_TRIES_MAX = CANDIDATES_MAX
 
 
+def wait_budget_s(limits: RequestLimits) -> float:
+    """Returns how long a SYN may wait before it is refused."""
+    return min(limits.open_budget_s, OPEN_WAIT_MAX_S)
+
+
 @define(slots=True, eq=False, repr=False)
 class Placer:
     """Sends each SYN to one agent after the other until one takes it."""
@@ -44,7 +46,12 @@
     agent_monitor: AgentMonitor
     service_endpoint: Callable[[bytes], Endpoint]
     random: Random = field(factory=Random)
-    policy: OpenPolicy = order_by_load
+    ranking: AgentRanking = field(
+        default=Factory(
+            lambda placer: AgentRanking(placer.state, placer.agent_monitor),
+            takes_self=True,
+        )
+    )
     # Hints of the flows whose SYN waits for an agent's answer.
     waiting: dict[bytes, Hint] = field(factory=dict)
     # The SYNs that wait for room, by service.
@@ -54,10 +61,7 @@
     def on_open(self, packet: FlowPacket, now_s: float) -> None:
         """Handles a SYN or a retransmission of one."""
         key = packet.flow_key
-        hint = self.state.hints.get(key)
-        if hint is not None and not hint.is_of_attempt(now_s):
-            # The port is used again: the new flow may go elsewhere.
-            hint = None
+        hint = self.hint_of_attempt(key, now_s)
         if hint is not None and hint.is_confirmed:
             if not self.agent_monitor.is_silent(hint.agent_ip):
                 # A retransmitted SYN follows the first.
@@ -73,6 +77,20 @@
         self.state.hints.keep(key, hint)
         self._start(packet, hint, now_s)
 
+    def hint_of_attempt(self, key: bytes, now_s: float) -> Hint | None:
+        """Returns the hint of the flow that a SYN may belong to, if any."""
+        hint = self.state.hints.get(key)
+        if hint is not None and not hint.is_of_attempt(now_s):
+            # The port is used again: the new flow may go elsewhere.
+            return None
+        return hint
+
+    def must_wait(self, queue: OpenQueue, limits: RequestLimits) -> bool:
+        """Returns whether others that wait are to be served before a SYN."""
+        if self.state.judges_targets:
+            return queue.has_waiting_before(limits.priority)
+        return queue.has_waiting
+
     def on_held(self, key: bytes, now_s: float) -> None:
         """Handles the report that an agent holds the flow."""
         hint = self.waiting.pop(key, None)
@@ -142,23 +160,16 @@
         draw = self.random.random()
         hint.service = pick_service(shares, draw) or shares[0].service
         hint.limits = manifest.limits_at(endpoint)
-        budget_s = min(hint.limits.open_budget_s, OPEN_WAIT_MAX_S)
-        hint.deadline_s = now_s + budget_s
+        hint.deadline_s = now_s + wait_budget_s(hint.limits)
         queue = self.queues.setdefault(hint.service, OpenQueue(hint.service))
         queue.outlook.on_arrived(hint.limits, now_s)
-        if not self._must_wait(queue, hint):
+        if not self.must_wait(queue, hint.limits):
             self._place(packet, hint, now_s)
             return
         # Others wait already: their order decides, not who comes now.
         self._enqueue(packet, hint)
         self._retry_queued(queue, now_s)
 
-    def _must_wait(self, queue: OpenQueue, hint: Hint) -> bool:
-        """Returns whether others that wait are to be served first."""
-        if self.state.judges_targets:
-            return queue.has_waiting_before(hint.limits.priority)
-        return queue.has_waiting
-
     def _place(self, packet: FlowPacket, hint: Hint, now_s: float) -> None:
         """Sends a SYN to the best agent that has not got it yet."""
         key = packet.flow_key
@@ -169,7 +180,9 @@
         queue = self._queue_of(hint)
         is_queued = queue is not None and queue.is_tried(key)
         tries_max = QUEUED_TRIES_MAX if is_queued else FIRST_TRIES_MAX
-        agents = self._agents(hint, now_s)
+        agents = self.ranking.order(
+            hint.service, hint.tried, self.random, now_s
+        )
         if agents and len(hint.tried) < tries_max:
             self._send(packet, hint, agents, now_s)
         else:
@@ -296,41 +309,6 @@
         if queue is not None:
             queue.on_refused(key)
 
-    def _is_forced(self, hint: Hint) -> bool:
-        """Returns whether agents take a SYN even for an ejected target."""
-        state = self.state
-        return state.judges_targets and self.agent_monitor.is_mostly_ejected(
-            state.directory.agents_of(hint.service), state.events.clock()
-        )
-
-    def _agents(self, hint: Hint, now_s: float) -> list[AgentEntry]:
-        """Returns the untried agents, best first.
-
-        There are none before the evacuations are known: any of them could be
-        in an evacuated data centre.
-        """
-        directory = self.state.directory
-        if not directory.has_evacuations:
-            return []
-        untried = [
-            entry
-            for entry in directory.agents_of(hint.service)
-            if entry.ip not in hint.tried
-        ]
-        ordered = self.policy(
-            untried,
-            self.agent_monitor.loads,
-            self.state.data_centre,
-            self.random,
-            now_s,
-        )
-        return sorted(
-            ordered,
-            key=lambda entry: self.agent_monitor.unavailability_rank(
-                entry, now_s
-            ),
-        )
-
     def _refuse(self, packet: FlowPacket, code: ResultCode) -> None:
         """Drops a SYN that cannot be placed, and resets its client.
 
@@ -388,6 +366,8 @@
             candidate_ips=candidate_ips,
             keeper_ips=self.state.directory.keepers_of(packet.flow_key),
             limits=hint.limits,
-            is_forced=self._is_forced(hint),
+            is_forced=self.ranking.is_forced(
+                hint.service, self.state.events.clock()
+            ),
         )
         self.state.forward(hint.agent_ip, forwarded)
