A balancer explains a placement; cumindrift explain prints it

Cause: logs tell where a SYN went, but nothing told where one would go now, and why an agent ranks last. Change: GET /placement on port 9102 of a balancer, and the command. The explanation asks the functions that place a SYN, on a copy of the source of randomness; the page encodes it, and both modules are imported on the first request.

--- a/cumindrift/fleet/settings.py
+++ b/cumindrift/fleet/settings.py
@@ -4,7 +4,8 @@
 
 from cumindrift.address import Endpoint
 
-# Every node serves /metrics on this port, balancers also /beliefs for peers.
+# Every node serves /metrics on this port, balancers also /beliefs for peers
+# and /placement for operators.
 METRICS_PORT = 9102
 
 
--- a/cumindrift/steering/balancer/page.py
+++ b/cumindrift/steering/balancer/page.py
@@ -33,3 +33,13 @@
     if not context.directory.is_complete:
         return HttpResponse.of_json(STATUS_UNAVAILABLE, {})
     return HttpResponse(STATUS_OK, encode_known_objects(context))
+
+
+@page_routes.register('GET /placement')
+def show_placement(context: NodeContext, request: HttpRequest) -> HttpResponse:
+    """Explains where a SYN would go; the encoder is imported on first use."""
+    from cumindrift.steering.balancer.placement_page import (  # noqa: PLC0415, WPS433
+        answer_placement,
+    )
+
+    return answer_placement(context, request)
--- a/cumindrift/tool/command.py
+++ b/cumindrift/tool/command.py
@@ -12,6 +12,7 @@
 from cumindrift.code import ResultCode
 from cumindrift.outcome import Done, NotRun, Outcome, Refused
 from cumindrift.tool import evacuations as _evacuations
+from cumindrift.tool import explain as _explain
 from cumindrift.tool import local as _local
 from cumindrift.tool import metric as _metric
 from cumindrift.tool import reading as _reading
@@ -23,6 +24,7 @@
 # Importing these modules registers their commands.
 COMMAND_MODULES = (
     _evacuations,
+    _explain,
     _local,
     _metric,
     _reading,
--- /dev/null
+++ b/features/steps/node_explain_steps.py
@@ -0,0 +1,219 @@
+"""Steps of node_explain.feature."""
+
+import json
+import subprocess
+import sys
+from random import Random
+
+from behave import given, then, when
+
+from cumindrift.fleet.manifest import Manifest
+from cumindrift.steering.frame import FrameKind, Load
+from features.builders.explanation import (
+    CLIENT,
+    NODE,
+    ExplainBench,
+    put_weights,
+    state_of,
+)
+from features.builders.node import (
+    SERVICE_ADDRESS,
+    SYN,
+    agent_ip,
+    flow_key,
+)
+
+LINE = f'explain {NODE.ip} {CLIENT} {SERVICE_ADDRESS}'
+
+
+@given('targets are judged by what they do')
+def step_judged(context):
+    context.bench.core.state.judges_targets = True
+
+
+@given(
+    'the address belongs to {first} with weight {first_weight:g} '
+    'and {second} with weight {second_weight:g}'
+)
+def step_weights(context, first, first_weight, second, second_weight):
+    weights = {first: first_weight, second: second_weight}
+    put_weights(context.bench, weights)
+
+
+@given('the balancer {lacks}')
+def step_lacks(context, lacks):
+    bench = context.bench
+    directory = bench.directory
+    if lacks == 'has no route':
+        directory.apply_manifest(Manifest(9), 9)
+    elif lacks == 'has not read evacuations':
+        directory.has_evacuations = False
+    elif lacks == 'has not listed agents':
+        directory.has_agents = False
+    elif lacks == 'has no agents':
+        bench.put_agents(0)
+    else:
+        zones = frozenset(f'zone-{number}' for number in (1, 2, 3))
+        directory.apply_evacuations(zones)
+
+
+@when('agent 2 is {reason}')
+def step_reason(context, reason):
+    bench = context.bench
+    monitor = bench.core.agent_monitor
+    for number in (1, 2, 3):
+        load = Load(1, 0, 10 if number == 2 else 40, 7)
+        monitor.on_report(agent_ip(number), load, bench.now_s)
+    if reason == 'silent':
+        monitor.on_unanswered(agent_ip(2), flow_key(), bench.now_s)
+    elif reason == 'avoided':
+        monitor.avoid(agent_ip(2), bench.now_s)
+    else:
+        load = Load(1, 0, 10, 7, failure_percent=1000)
+        monitor.on_report(agent_ip(2), load, bench.now_s)
+
+
+@when('its state is compared before and after an explanation')
+def step_compare(context):
+    before = state_of(context.bench)
+    assert ExplainBench(context.bench).explain()['services']
+    context.states = (before, state_of(context.bench))
+
+
+@when('a flow opens')
+def step_opens(context):
+    bench = context.bench
+    bench.core.placer.queues['kaynti'].outlook.on_opened(bench.now_s)
+
+
+@when('its copies are confirmed and agent 1 reports, and 2 s go by')
+def step_confirm(context):
+    bench = context.bench
+    directory = bench.directory
+    directory.manifest_copy_version.confirm(7, 7, bench.now_s)
+    directory.evacuations_version.confirm(7, 7, bench.now_s)
+    bench.report(1, FrameKind.PONG)
+    bench.now_s += 2
+
+
+@then(
+    'each of {count:d} SYNs under changing load goes where the explanation says'
+)
+def step_same_order(context, count):
+    bench, random = context.bench, Random(7)
+    for number in range(count):
+        for agent in range(1, bench.agent_count + 1):
+            load = Load(random.randint(0, 3), random.randint(0, 9), 40, 7)
+            bench.report(agent, FrameKind.PONG, load=load)
+        bench.core.agent_monitor.avoid(
+            agent_ip(random.randint(1, 9)), bench.now_s
+        )
+        (service,) = ExplainBench(bench).explain()['services']
+        expected = [agent['ip'] for agent in service['agents']]
+        bench.output.clear()
+        bench.packet(SYN, port=41000 + number)
+        ((ip, frame),) = bench.output.sent
+        assert [ip, *frame.candidate_ips] == expected[:4]
+
+
+@then('the state is the same')
+def step_same_state(context):
+    before, after = context.states
+    assert before == after
+
+
+@then('the explanation ranks agent 2 last as {reason}')
+def step_last(context, reason):
+    (service,) = ExplainBench(context.bench).explain()['services']
+    last = service['agents'][-1]
+    assert (last['ip'], last['reasons']) == (agent_ip(2), [reason]), last
+
+
+@then('the explanation gives the obstacles {names}')
+def step_obstacles(context, names):
+    found = ExplainBench(context.bench).explain()['obstacles']
+    assert found == names.split(', '), found
+
+
+@then('the tool exits with {exit_code:d} and its text has {text}')
+def step_tool(context, exit_code, text):
+    step_line(context, LINE, exit_code, text)
+
+
+@then('the line {line} exits with {exit_code:d} and prints {text}')
+def step_line(context, line, exit_code, text):
+    printed = ExplainBench(context.bench).run(line)
+    assert printed.exit_code == exit_code, printed
+    assert text in printed.out + printed.err, printed
+
+
+@then('the tool prints the page as JSON')
+def step_json_output(context):
+    bench = ExplainBench(context.bench)
+    printed = bench.run(LINE, is_json=True)
+    assert json.loads(printed.out) == bench.explain(), printed
+
+
+@then('the query {query} is refused with {code:d} at {path}')
+def step_refused(context, query, code, path):
+    bench = ExplainBench(context.bench)
+    found = bench.explain(query)
+    assert bench.ask(query).status == 400
+    assert (found['code'], found['path']) == (code, path), found
+
+
+@then(
+    'the queue has {count:d} waiting, is {state} and holds a SYN {seconds:g} s'
+)
+def step_queue(context, count, state, seconds):
+    (service,) = ExplainBench(context.bench).explain()['services']
+    queue = service['queue']
+    found = (queue['waiting_count'], queue['is_overloaded'], queue['hold_s'])
+    assert found == (count, state == 'overloaded', seconds), queue
+
+
+@then('the services are {expected}')
+def step_services(context, expected):
+    found = ', '.join(
+        f'{each["service"]} {each["fraction"]} '
+        f'with {len(each["agents"])} agents'
+        for each in ExplainBench(context.bench).explain()['services']
+    )
+    assert found == expected, found
+
+
+@then('the flow is {state} at "{ip}"')
+@then('the flow is {state} at ""')
+def step_flow(context, state, ip=''):
+    found = ExplainBench(context.bench).explain()['flow']
+    assert found == {'state': state, 'agent_ip': ip}, found
+
+
+@then('the ages of manifest, evacuations and report of agent 1 are {age}')
+def step_ages(context, age):
+    found = ExplainBench(context.bench).explain()
+    reports = {
+        agent['ip']: agent['report_age_s']
+        for agent in found['services'][0]['agents']
+    }
+    ages = [found['manifest']['age_s'], found['evacuations']['age_s']]
+    ages.append(reports[agent_ip(1)])
+    expected = None if age == 'unknown' else float(age.split()[0])
+    assert ages == [expected] * 3, ages
+
+
+@then('a process that imports a balancer has not imported the explanation')
+def step_imports(context):
+    lines = (
+        'import sys',
+        'import cumindrift.steering.balancer.supervisor',
+        'print([name for name in sys.modules if "expla" in name',
+        '    or "placement_page" in name])',
+    )
+    done = subprocess.run(  # noqa: S603 - a fixed command
+        [sys.executable, '-c', '\n'.join(lines)],
+        capture_output=True,
+        check=True,
+        text=True,
+    )
+    assert done.stdout.strip() == '[]', done.stdout
--- a/features/tool.feature
+++ b/features/tool.feature
@@ -32,6 +32,7 @@
       | metrics cumindrift_request_seconds       | 0    | team=todistajat             |
       | codes 405                                | 0    | NOT_YOURS                   |
       | new-token studio                         | 0    | "holder": "studio"          |
+      | help explain                             | 0    | usage: cumindrift explain   |
       | fly                                      | 6    | 605 BAD_COMMAND             |
 
   Scenario: JSON for programs
