Explanation: fields of a missing report are typed as absent

Cause: mypy saw a Load where a number is expected in five fields. Change: each of them is None if there is no report.

--- a/cumindrift/steering/balancer/explanation.py
+++ b/cumindrift/steering/balancer/explanation.py
@@ -282,6 +282,7 @@
         loads = self.placer.agent_monitor.loads
         load = loads.get(entry.ip) or AgentLoad()
         report = load.last_report if load.reported_s else None
+        age_s = self.now_s - load.reported_s
         cost_ms = estimate_cost_ms(entry, loads, data_centre, self.now_s)
         return RankedAgent(
             entry.name,
@@ -289,12 +290,12 @@
             entry.data_centre,
             entry.data_centre == data_centre,
             round(cost_ms, _COST_DECIMALS),
-            report and report.flow_count,
+            report.flow_count if report else None,
             load.sent_count,
-            report and report.busy_count,
-            report and report.slots,
-            report and report.response_ms,
-            report and round(self.now_s - load.reported_s, _DECIMALS),
+            report.busy_count if report else None,
+            report.slots if report else None,
+            report.response_ms if report else None,
+            round(age_s, _DECIMALS) if report else None,
             round(load.penalty_percent(self.now_s), _COST_DECIMALS),
             self._reasons(entry, load),
         )
