Balancer: SYNs of clients that exceed their share wait after the others

Cause: within a priority, the queue knew no difference between clients.

Change: where targets are judged, each first SYN of a flow is counted and marked on arrival, and queues have the order `by-value`: priority, share exceeded, newest first. Otherwise nothing is counted, no random number is drawn and the order stays `urgent-first`. New metric cumindrift_share_exceeded_total.

--- a/cumindrift/metric.py
+++ b/cumindrift/metric.py
@@ -225,6 +225,11 @@
     'SYNs refused early since they would not be served in time.',
     ('service', 'priority'),
 )
+SHARE_EXCEEDED = Counter(
+    'cumindrift_share_exceeded',
+    "First SYNs of clients that exceeded four times the others' mean share.",
+    ('service', 'priority'),
+)
 COPY_AGE = Gauge(
     'cumindrift_copy_age_seconds',
     'Time since the store or a peer confirmed the copy of a kind of objects.',
--- a/cumindrift/steering/balancer/hint.py
+++ b/cumindrift/steering/balancer/hint.py
@@ -29,6 +29,8 @@
     # How many SYNs of the flow this balancer has received.
     syn_count: int = 1
     limits: RequestLimits = DEFAULT_LIMITS
+    # Whether the client sent far more than the others when the SYN arrived.
+    is_share_exceeded: bool = False
     tried: set[str] = field(factory=set)
 
     def is_of_attempt(self, now_s: float) -> bool:
--- a/cumindrift/steering/balancer/open_queue.py
+++ b/cumindrift/steering/balancer/open_queue.py
@@ -30,6 +30,16 @@
     return (hint.limits.priority, -hint.first_sent_s)
 
 
+@queue_orders.register('by-value')
+def order_by_value(hint: Hint) -> tuple[float, ...]:
+    """Orders by priority, then by share exceeded, then the newest first.
+
+    A client that sends far more than the others is served after them, since
+    it would otherwise always have the newest SYN.
+    """
+    return (hint.limits.priority, hint.is_share_exceeded, -hint.first_sent_s)
+
+
 @queue_orders.register('newest-first')
 def order_by_newest(hint: Hint) -> tuple[float, ...]:
     """Orders the newest first, whatever its priority."""
--- a/cumindrift/steering/balancer/placer.py
+++ b/cumindrift/steering/balancer/placer.py
@@ -9,18 +9,23 @@
 from cumindrift.code import ResultCode
 from cumindrift.fleet.directory import AgentEntry
 from cumindrift.fleet.manifest import pick_service
-from cumindrift.metric import EARLY_REFUSALS
+from cumindrift.metric import EARLY_REFUSALS, SHARE_EXCEEDED
 from cumindrift.steering.balancer.agent_monitor import AgentMonitor
+from cumindrift.steering.balancer.fair_share import FairShare
 from cumindrift.steering.balancer.hint import Hint
 from cumindrift.steering.balancer.load import (
     CANDIDATES_MAX,
     OpenPolicy,
     order_by_load,
 )
-from cumindrift.steering.balancer.open_queue import OpenQueue
+from cumindrift.steering.balancer.open_queue import OpenQueue, queue_orders
 from cumindrift.steering.balancer.state import BalancerState
 from cumindrift.steering.frame import ForwardedPacket, FrameKind, service_digest
-from cumindrift.steering.packet import FlowPacket, expected_syn_count
+from cumindrift.steering.packet import (
+    CLIENT_ADDRESS,
+    FlowPacket,
+    expected_syn_count,
+)
 
 # A live agent answers a SYN within this time, in whatever data centre it is.
 AGENT_TIMEOUT_S = 0.06
@@ -34,6 +39,7 @@
 # it is tried again.
 FIRST_TRIES_MAX = 2 * CANDIDATES_MAX
 QUEUED_TRIES_MAX = CANDIDATES_MAX
+SALT_BYTES = 16
 
 
 @define(slots=True, eq=False, repr=False)
@@ -49,6 +55,8 @@
     waiting: dict[bytes, Hint] = field(factory=dict)
     # The SYNs that wait for room, by service.
     queues: dict[str, OpenQueue] = field(factory=dict)
+    # The SYNs by client, by service; empty unless targets are judged.
+    shares: dict[str, FairShare] = field(factory=dict)
     _next_retry_s: float = 0.0
 
     def on_open(self, packet: FlowPacket, now_s: float) -> None:
@@ -144,7 +152,9 @@
         hint.limits = manifest.limits_at(endpoint)
         budget_s = min(hint.limits.open_budget_s, OPEN_WAIT_MAX_S)
         hint.deadline_s = now_s + budget_s
-        queue = self.queues.setdefault(hint.service, OpenQueue(hint.service))
+        queue = self._queue_for(hint.service)
+        if self.state.judges_targets:
+            self._count_share(packet, hint, now_s)
         queue.outlook.on_arrived(hint.limits, now_s)
         if not self._must_wait(queue, hint):
             self._place(packet, hint, now_s)
@@ -153,6 +163,31 @@
         self._enqueue(packet, hint)
         self._retry_queued(queue, now_s)
 
+    def _queue_for(self, service: str) -> OpenQueue:
+        """Returns the queue of a service, created on first use."""
+        queue = self.queues.get(service)
+        if queue is None:
+            is_by_value = self.state.judges_targets
+            order = 'by-value' if is_by_value else 'urgent-first'
+            queue = OpenQueue(service, queue_orders.get(order))
+            self.queues[service] = queue
+        return queue
+
+    def _count_share(
+        self, packet: FlowPacket, hint: Hint, now_s: float
+    ) -> None:
+        """Counts a first SYN; marks it if its client exceeds its share."""
+        service = hint.service
+        share = self.shares.get(service)
+        if share is None:
+            share = FairShare(self.random.randbytes(SALT_BYTES))
+            self.shares[service] = share
+        client = packet.flow_key[CLIENT_ADDRESS]
+        hint.is_share_exceeded = share.on_arrived(client, now_s)
+        if hint.is_share_exceeded:
+            priority = str(hint.limits.priority)
+            SHARE_EXCEEDED.labels(service, priority).inc()
+
     def _must_wait(self, queue: OpenQueue, hint: Hint) -> bool:
         """Returns whether others that wait are to be served first."""
         if self.state.judges_targets:
--- a/cumindrift/steering/packet.py
+++ b/cumindrift/steering/packet.py
@@ -4,6 +4,7 @@
 
 # Client port, service address, service port, client address: 12 octets.
 FLOW_KEY_BYTES = 12
+CLIENT_ADDRESS = slice(8, FLOW_KEY_BYTES)
 SEQUENCE_SPACE = 1 << 32
 # A client retransmits a SYN within this time, then gives the attempt up. A
 # later SYN of the same flow key opens a new flow.
