--- a/cumindrift/steering/balancer/placer.py
+++ b/cumindrift/steering/balancer/placer.py
@@ -9,15 +9,20 @@
 from cumindrift.code import ResultCode
 from cumindrift.fleet.directory import AgentEntry
 from cumindrift.fleet.manifest import RequestLimits, pick_service
-from cumindrift.metric import EARLY_REFUSALS
+from cumindrift.metric import EARLY_REFUSALS, SHARE_EXCEEDED
 from cumindrift.steering.balancer.agent_monitor import AgentMonitor
+from cumindrift.steering.balancer.fair_share import SALT_BYTES, FairShare
 from cumindrift.steering.balancer.hint import Hint
 from cumindrift.steering.balancer.load import CANDIDATES_MAX
-from cumindrift.steering.balancer.open_queue import OpenQueue
+from cumindrift.steering.balancer.open_queue import OpenQueue, queue_orders
 from cumindrift.steering.balancer.ranking import AgentRanking
 from cumindrift.steering.balancer.state import BalancerState
 from cumindrift.steering.frame import ForwardedPacket, FrameKind, service_digest
-from cumindrift.steering.packet import FlowPacket, expected_syn_count
+from cumindrift.steering.packet import (
+    CLIENT_ADDRESS,
+    FlowPacket,
+    expected_syn_count,
+)
 
 # A live agent answers a SYN within this time, in whatever data centre it is.
 AGENT_TIMEOUT_S = 0.06
@@ -56,6 +61,8 @@
     waiting: dict[bytes, Hint] = field(factory=dict)
     # The SYNs that wait for room, by service.
     queues: dict[str, OpenQueue] = field(factory=dict)
+    # The SYNs by client, by service; empty unless targets are judged.
+    shares: dict[str, FairShare] = field(factory=dict)
     _next_retry_s: float = 0.0
 
     def on_open(self, packet: FlowPacket, now_s: float) -> None:
@@ -161,7 +168,9 @@
         hint.service = pick_service(shares, draw) or shares[0].service
         hint.limits = manifest.limits_at(endpoint)
         hint.deadline_s = now_s + wait_budget_s(hint.limits)
-        queue = self.queues.setdefault(hint.service, OpenQueue(hint.service))
+        queue = self._queue_for(hint.service)
+        if self.state.judges_targets:
+            self._count_share(packet, hint, now_s)
         queue.outlook.on_arrived(hint.limits, now_s)
         if not self.must_wait(queue, hint.limits):
             self._place(packet, hint, now_s)
@@ -170,6 +179,31 @@
         self._enqueue(packet, hint)
         self._retry_queued(queue, now_s)
 
+    def _queue_for(self, service: str) -> OpenQueue:
+        """Returns the queue of a service, created on first use."""
+        queue = self.queues.get(service)
+        if queue is None:
+            is_by_value = self.state.judges_targets
+            order = 'by-value' if is_by_value else 'urgent-first'
+            queue = OpenQueue(service, queue_orders.get(order))
+            self.queues[service] = queue
+        return queue
+
+    def _count_share(
+        self, packet: FlowPacket, hint: Hint, now_s: float
+    ) -> None:
+        """Counts a first SYN; marks it if its client exceeds its share."""
+        service = hint.service
+        share = self.shares.get(service)
+        if share is None:
+            share = FairShare(self.random.randbytes(SALT_BYTES))
+            self.shares[service] = share
+        client = packet.flow_key[CLIENT_ADDRESS]
+        hint.is_share_exceeded = share.on_arrived(client, now_s)
+        if hint.is_share_exceeded:
+            priority = str(hint.limits.priority)
+            SHARE_EXCEEDED.labels(service, priority).inc()
+
     def _place(self, packet: FlowPacket, hint: Hint, now_s: float) -> None:
         """Sends a SYN to the best agent that has not got it yet."""
         key = packet.flow_key
--- a/features/node_outlier.feature
+++ b/features/node_outlier.feature
@@ -99,7 +99,7 @@
     Then a forced flow is admitted
 
   Scenario Outline: SYNs are forced once more than half of the targets are ejected
-    Given a balancer that judges targets
+    Given a busy balancer that judges targets
     When <count> of its 3 agents report an ejection
     Then the next SYN is <forced>
 
@@ -111,7 +111,7 @@
   # Guards against a target that stays away because only its own reports, which
   # come with new flows, could end the penalty at a balancer.
   Scenario: An ejection that was reported some seconds ago no longer counts
-    Given a balancer that judges targets
+    Given a busy balancer that judges targets
     When 2 of its 3 agents report an ejection
     And 4.1 s go by at that balancer
     Then the next SYN is not forced
--- a/features/steps/node_hard_load_steps.py
+++ b/features/steps/node_hard_load_steps.py
@@ -193,12 +193,12 @@
     assert not logged_lines(context.agent.bench.events, event)
 
 
-@given('a balancer that judges targets')
+@given('a busy balancer that judges targets')
 def step_balancer(context):
     context.balancer = LoadedBalancer()
 
 
-@given('a balancer that trusts targets')
+@given('a busy balancer that trusts targets')
 def step_trusting_balancer(context):
     context.balancer = LoadedBalancer(judges_targets=False)
 
