--- a/features/builders/hard_load.py
+++ b/features/builders/hard_load.py
@@ -114,13 +114,14 @@
         self.lines.extend(logged_lines(self.bench.events))
         return [line for line in self.lines if line['event'] == event]
 
-    def take_one(self) -> None:
-        """Has an agent take the first SYN that is sent; others refuse."""
-        if self.bench.output.sent:
+    def take(self, count: int) -> None:
+        """Has agents take SYNs as they are sent, `count` at most."""
+        for _ in range(count):
+            if not self.bench.output.sent:
+                return
             ip, message = self.bench.output.sent.pop(0)
             report = AgentReport(FrameKind.HELD, message.packet[12:24])
             self.bench.core.on_report(ip, report, self.bench.now_s)
-        self.bench.refuse_all()
 
     def play(self, seconds: float, sent: int, taken: int) -> None:
         """Plays steps of 20 ms: `sent` usual SYNs come, `taken` find room."""
@@ -128,7 +129,6 @@
         while self.bench.now_s < end_s:
             for _ in range(sent):
                 self.send()
-            for _ in range(taken):
-                self.take_one()
+            self.take(taken)
             self.bench.refuse_all()
             self.bench.pass_time(0.02)
