Flows stay in their data centre while their clients notice nothing

Cause: a target in another data centre with one request less was preferred, though a response some ms later costs a client nothing and traffic between data centres does. Change: where targets are judged, the policy 'spill' adds an eighth of the target latency to agents elsewhere, and counts the penalty of a failing target four times for requests that must not run twice. Cost policies are a registry; 'lightest' is unchanged.

--- a/cumindrift/steering/balancer/explanation.py
+++ b/cumindrift/steering/balancer/explanation.py
@@ -17,10 +17,9 @@
     WeightedService,
     fractions_of,
 )
+from cumindrift.steering.balancer.cost import NewFlow
 from cumindrift.steering.balancer.load import (
-    COST_SPREAD,
     AgentLoad,
-    estimate_cost_ms,
 )
 from cumindrift.steering.balancer.open_queue import OpenQueue
 from cumindrift.steering.balancer.placer import (
@@ -28,6 +27,7 @@
     Placer,
     wait_budget_s,
 )
+from cumindrift.steering.balancer.ranking import COST_SPREAD
 
 _RANK_AVOIDED = 1
 _RANK_SILENT = 2
@@ -263,7 +263,8 @@
     ) -> ServicePlacement:
         directory = self.placer.state.directory
         ranking = self.placer.ranking
-        ordered = ranking.order(service, (), random, self.now_s)
+        flow = ranking.new_flow(service, limits)
+        ordered = ranking.order(flow, (), random, self.now_s)
         evacuated_count = sum(
             entry.service == service and entry.ip in directory.evacuated_ips
             for entry in directory.agents.values()
@@ -273,17 +274,17 @@
             fraction,
             ranking.is_forced(service, self.now_s),
             evacuated_count,
-            tuple(map(self._agent, ordered)),
+            tuple(self._agent(entry, flow) for entry in ordered),
             self._queue(service, limits),
         )
 
-    def _agent(self, entry: AgentEntry) -> RankedAgent:
+    def _agent(self, entry: AgentEntry, flow: NewFlow) -> RankedAgent:
         data_centre = self.placer.state.data_centre
         loads = self.placer.agent_monitor.loads
         load = loads.get(entry.ip) or AgentLoad()
         report = load.last_report if load.reported_s else None
         age_s = self.now_s - load.reported_s
-        cost_ms = estimate_cost_ms(entry, loads, data_centre, self.now_s)
+        cost_ms = self.placer.ranking.cost_ms(entry, flow, self.now_s)
         return RankedAgent(
             entry.name,
             entry.ip,
--- a/cumindrift/steering/balancer/load.py
+++ b/cumindrift/steering/balancer/load.py
@@ -1,13 +1,9 @@
-"""The load of each agent, and policies that choose agents by it."""
+"""The load of each agent, as a balancer knows it."""
 
-from collections.abc import Callable, Mapping, Sequence
 from math import inf
-from random import Random
 
 from attrs import define, field
 
-from cumindrift.fleet.directory import AgentEntry
-from cumindrift.registry import Registry
 from cumindrift.steering.frame import Load
 
 # Number of agents, including the first, that may get a SYN before it is
@@ -16,11 +12,6 @@
 # How long an agent that did not take a SYN is tried only after the others.
 AVOIDED_S = 0.3
 UNKNOWN_RESPONSE_MS = 50
-# Cost factor of agents in another data centre: latency and traffic.
-OTHER_DATA_CENTRE_FACTOR = 1.15
-# A random share of the cost, up to this one, is added for each SYN, so that
-# balancers with the same reports do not all choose the same agent.
-COST_SPREAD = 1 / 16
 MS_PER_S = 1000
 # Where targets are judged by what they do, the penalty of a failing one fades
 # within this time after its report, so that it is tried again.
@@ -49,7 +40,7 @@
         self.sent_count = 0
         self.silent_since_s = 0.0
 
-    def cost(self, now_s: float) -> float:
+    def response_ms(self, now_s: float) -> float:
         """Estimates the response time for a request of a new flow, in ms.
 
         Requests that waited for a slot when the report was made are worked off
@@ -63,8 +54,7 @@
         queued = max(queued - age_ms / response_ms * slots, 0)
         flows = report.flow_count + self.sent_count
         work = min(report.busy_count, slots) + queued + self.sent_count
-        estimate_ms = response_ms * (1 + (work + flows / 4) / slots)
-        return estimate_ms * (1 + self.penalty_percent(now_s) / 100)
+        return response_ms * (1 + (work + flows / 4) / slots)
 
     def penalty_percent(self, now_s: float) -> float:
         """Returns what is left of the last report's penalty."""
@@ -77,55 +67,3 @@
         is_recent = now_s - self.reported_s < self.penalty_fades_s
         is_failing = self.last_report.failure_percent >= EJECTED_PERCENT_MIN
         return is_recent and is_failing
-
-
-def estimate_cost_ms(
-    entry: AgentEntry,
-    loads: Mapping[str, AgentLoad],
-    data_centre: str,
-    now_s: float,
-) -> float:
-    """Returns an agent's cost to a balancer in `data_centre`, in ms."""
-    known = loads.get(entry.ip)
-    estimate = known.cost(now_s) if known else UNKNOWN_RESPONSE_MS
-    if entry.data_centre != data_centre:
-        estimate *= OTHER_DATA_CENTRE_FACTOR
-    return estimate
-
-
-# Orders the agents of a service for one new flow, best first, by their loads,
-# the balancer's data centre, a source of randomness and the time.
-OpenPolicy = Callable[
-    [Sequence[AgentEntry], dict[str, AgentLoad], str, Random, float],
-    list[AgentEntry],
-]
-open_policies: Registry[OpenPolicy] = Registry('open policy')
-
-
-@open_policies.register('lightest')
-def order_by_load(
-    agents: Sequence[AgentEntry],
-    loads: dict[str, AgentLoad],
-    data_centre: str,
-    random: Random,
-    now_s: float,
-) -> list[AgentEntry]:
-    """Orders the agents by the estimated response time of their targets."""
-
-    def cost(entry: AgentEntry) -> float:
-        estimate = estimate_cost_ms(entry, loads, data_centre, now_s)
-        return estimate * (1 + random.random() * COST_SPREAD)
-
-    return sorted(agents, key=cost)
-
-
-@open_policies.register('random')
-def order_at_random(
-    agents: Sequence[AgentEntry],
-    _loads: dict[str, AgentLoad],
-    _data_centre: str,
-    random: Random,
-    _now_s: float,
-) -> list[AgentEntry]:
-    """Orders the agents at random, as a baseline for comparison."""
-    return random.sample(list(agents), len(agents))
--- a/cumindrift/steering/balancer/placer.py
+++ b/cumindrift/steering/balancer/placer.py
@@ -214,9 +214,8 @@
         queue = self._queue_of(hint)
         is_queued = queue is not None and queue.is_tried(key)
         tries_max = QUEUED_TRIES_MAX if is_queued else FIRST_TRIES_MAX
-        agents = self.ranking.order(
-            hint.service, hint.tried, self.random, now_s
-        )
+        flow = self.ranking.new_flow(hint.service, hint.limits)
+        agents = self.ranking.order(flow, hint.tried, self.random, now_s)
         if agents and len(hint.tried) < tries_max:
             self._send(packet, hint, agents, now_s)
         else:
@@ -247,7 +246,7 @@
             tried=len(hint.tried),
             manifest=directory.manifest.version,
             manifest_age_s=directory.manifest_copy_version.age_s(now_s),
-            cost=round(load.cost(now_s), 1),
+            cost=round(load.response_ms(now_s), 1),
             load_age_s=round(now_s - load.reported_s, 3),
             waited_s=round(now_s - hint.first_sent_s, 3),
             evacuations=evacuations.as_of,
--- a/features/emulator.feature
+++ b/features/emulator.feature
@@ -35,7 +35,7 @@
       | an unknown key of a fault  | $.faults[0]      | after; allowed: kind, at_s         |
       | an unknown kind of fault   | $.faults[0].kind | 'earthquake'; allowed: agent-kill  |
       | an unknown router          | $.router         | 'nearest'; allowed: mod, steady    |
-      | an unknown queue order     | $.queue_order    | 'loudest'; allowed: newest-first   |
+      | an unknown queue order     | $.queue_order    | 'loudest'; allowed: by-value, newest-first   |
       | a time in words            | $.length_s       | expected a number                  |
       | a rate of zero             | $.classes[0]     | rate_per_s                         |
       | a text that is not JSON    | $                |                                    |
--- /dev/null
+++ b/features/node_cost.feature
@@ -0,0 +1,37 @@
+Feature: A balancer compares agents by what they cost a new flow
+
+  # Guards against traffic between data centres that helps no client.
+  Scenario Outline: Flows stay in their data centre until they would wait for a slot
+    Given agents of 2 slots that take 50 ms, one here and one elsewhere
+    And the agent here has <here> requests in progress, the other <elsewhere>
+    Then a flow with a target latency of <latency> ms goes <where>
+
+    Examples:
+      | here | elsewhere | latency | where     |
+      | 0    | 0         | 400     | here      |
+      | 1    | 0         | 400     | here      |
+      | 3    | 0         | 400     | elsewhere |
+      | 3    | 3         | 400     | here      |
+      | 1    | 0         | 100     | elsewhere |
+
+  # Guards against a switch from one data centre to another: a share of the
+  # flows follows the load.
+  Scenario: Flows are shared with another data centre as the load here grows
+    Given agents of 2 slots that take 50 ms, 3 here and as many elsewhere
+    When 24 flows come at once
+    Then from 3 to 11 of them go elsewhere
+
+  # Guards against unsafe requests on a target that has failed lately: clients
+  # cannot retry them.
+  Scenario: Unsafe requests avoid a failing target more than others do
+    Given agents of 2 slots that take 50 ms, one here and one elsewhere
+    And the agent here has a penalty of 50 percent
+    Then a flow with a target latency of 400 ms goes here
+    And an unsafe flow with a target latency of 400 ms goes elsewhere
+
+  # Guards against changes for deployments that do not ask for this.
+  Scenario: Without the contract, the lightest agent is chosen
+    Given agents of 2 slots that take 50 ms, one here and one elsewhere
+    And the balancer trusts targets
+    And the agent here has 1 requests in progress, the other 0
+    Then a flow with a target latency of 400 ms goes elsewhere
