Agents refuse foreign heartbeats; a removed entry comes back; early refusal needs evidence

A balancer that hears nobody removes nobody, and one that hears an agent without an entry tells it, so that it registers again.

--- a/cumindrift/metric.py
+++ b/cumindrift/metric.py
@@ -230,6 +230,10 @@
     "First SYNs of clients that exceeded four times the others' mean share.",
     ('service', 'priority'),
 )
+FOREIGN_HEARTBEATS = Counter(
+    'cumindrift_foreign_heartbeats',
+    "Heartbeats refused since they were not of this agent's target.",
+)
 COPY_AGE = Gauge(
     'cumindrift_copy_age_seconds',
     'Time since the store or a peer confirmed the copy of a kind of objects.',
--- a/cumindrift/steering/agent/core.py
+++ b/cumindrift/steering/agent/core.py
@@ -5,7 +5,12 @@
 from attrs import define, field
 
 from cumindrift.code import ResultCode
-from cumindrift.metric import OPEN_HOPS, OPEN_SECONDS, RESPONSE_SECONDS
+from cumindrift.metric import (
+    FOREIGN_HEARTBEATS,
+    OPEN_HOPS,
+    OPEN_SECONDS,
+    RESPONSE_SECONDS,
+)
 from cumindrift.steering.agent.coordinator import SearchCoordinator
 from cumindrift.steering.agent.crash_recovery import CrashRecovery
 from cumindrift.steering.agent.flow import Flow
@@ -65,6 +70,9 @@
         if forwarded.kind is FrameKind.PING:
             state.send_report(forwarded.origin_ip, FrameKind.PONG)
             return
+        if forwarded.kind is FrameKind.ENTRY_MISSING:
+            state.output.check_entry()
+            return
         packet = self.read_packet(forwarded.packet)
         if packet is None:
             state.count_drop(ResultCode.PACKET_MALFORMED)
@@ -113,6 +121,9 @@
         earlier = target.last_heartbeat
         effect = target.on_heartbeat(heartbeat, now_s)
         self.state.table.work.slots = target.slots
+        if effect is HeartbeatEffect.FOREIGN:
+            self._refuse_heartbeat(heartbeat)
+            return effect
         self.crash_recovery.reset_lost_flows()
         if effect is not HeartbeatEffect.SAME:
             self.state.events.note(
@@ -129,6 +140,16 @@
             )
         return effect
 
+    def _refuse_heartbeat(self, heartbeat: Heartbeat) -> None:
+        FOREIGN_HEARTBEATS.inc()
+        self.state.events.note(
+            'beat-refused',
+            target=heartbeat.target_id,
+            service=heartbeat.service,
+            address=str(heartbeat.packets),
+            incarnation=heartbeat.incarnation,
+        )
+
     def on_deregistered(self, target_id: str) -> None:
         """Handles a target's notice that it is about to end."""
         state = self.state
--- a/cumindrift/steering/agent/page.py
+++ b/cumindrift/steering/agent/page.py
@@ -6,12 +6,14 @@
     Route,
     error_response,
 )
+from cumindrift.code import ResultCode
 from cumindrift.fleet.agent_store import announce_agent
 from cumindrift.fleet.context import NodeContext
 from cumindrift.outcome import Refused
 from cumindrift.platform.heartbeat import read_heartbeat
 from cumindrift.registry import Registry
-from cumindrift.steering.page import STATUS_OK
+from cumindrift.steering.agent.target import HeartbeatEffect
+from cumindrift.steering.page import STATUS_CONFLICT, STATUS_OK
 
 # Paths of the platform adapter begin with the product's name.
 TARGETS_PATH = '/instances/'
@@ -35,7 +37,11 @@
         )
         return error_response(outcome)
     heartbeat = outcome.content
-    context.core.on_heartbeat(heartbeat, context.clock())
+    effect = context.core.on_heartbeat(heartbeat, context.clock())
+    if effect is HeartbeatEffect.FOREIGN:
+        return error_response(
+            Refused(ResultCode.MESSAGE_MISDIRECTED, target_id), STATUS_CONFLICT
+        )
     announce_agent(context, context.core.state.target.last_heartbeat.service)
     return HttpResponse.of_json(STATUS_OK, {})
 
--- a/cumindrift/steering/agent/supervisor.py
+++ b/cumindrift/steering/agent/supervisor.py
@@ -31,6 +31,7 @@
         settings.heartbeat_s,
         context.started_ms,
         context.is_first_start,
+        place,
     )
     state = AgentState(
         settings.ip,
--- a/cumindrift/steering/agent/target.py
+++ b/cumindrift/steering/agent/target.py
@@ -5,7 +5,7 @@
 
 from attrs import define, field
 
-from cumindrift.fleet.settings import NodeBounds, NodeSettings
+from cumindrift.fleet.settings import NodeBounds, NodeSettings, TargetEndpoints
 from cumindrift.steering.agent.heartbeat import Heartbeat
 
 # Missed heartbeats after which a target counts as silent.
@@ -45,6 +45,8 @@
     """The effect of a heartbeat on the target's state."""
 
     STALE = 'stale'
+    # Not of this agent's target; it changes nothing.
+    FOREIGN = 'foreign'
     SAME = 'same'
     CHANGED = 'changed'
     NEW_INCARNATION = 'new incarnation'
@@ -59,6 +61,8 @@
     started_ms: int
     # Whether nothing ran on this host before this process.
     is_first_start: bool = False
+    # What the settings say of the target; not checked if absent.
+    place: TargetEndpoints | None = None
     last_heartbeat: Heartbeat | None = None
     last_heartbeat_s: float = 0.0
     # The target announced its end; it may still serve its flows.
@@ -91,11 +95,14 @@
         """Applies changed settings."""
         self.bounds = settings.bounds
         self.heartbeat_s = settings.heartbeat_s
+        self.place = settings.target
 
     def on_heartbeat(
         self, heartbeat: Heartbeat, now_s: float
     ) -> HeartbeatEffect:
-        """Applies a heartbeat unless it is older than the last one."""
+        """Applies a heartbeat unless it is foreign, or older than the last."""
+        if self._is_foreign(heartbeat):
+            return HeartbeatEffect.FOREIGN
         known = self.last_heartbeat
         if known is not None and self._is_stale(known, heartbeat, now_s):
             return HeartbeatEffect.STALE
@@ -174,6 +181,22 @@
         most = cold_rate * bounds.cold_rate_factor + bounds.cold_rate_slack
         return len(opened_s) + 1 < most
 
+    def _is_foreign(self, heartbeat: Heartbeat) -> bool:
+        """Returns whether a heartbeat is not of the target beside this agent.
+
+        Any writer may send one, and one of a former target at the address may
+        come late. An agent that has just started knows no other heartbeat to
+        compare it with, so the service that its settings name decides. Later
+        the address may go to another service before the settings change.
+        """
+        place = self.place
+        if place is None:
+            return False
+        is_first = self.last_heartbeat is None
+        if is_first and heartbeat.service != place.service:
+            return True
+        return heartbeat.packets != place.packets
+
     def _is_stale(
         self,
         known: Heartbeat,
--- a/cumindrift/steering/balancer/agent_monitor.py
+++ b/cumindrift/steering/balancer/agent_monitor.py
@@ -21,6 +21,8 @@
 # An agent that has not answered for this long is assumed to be gone with its
 # host, and its entry is removed. It registers again if it comes back.
 REMOVED_AFTER_S = 20.0
+# An agent that reported within this time is alive.
+HEARD_WITHIN_S = 2.0
 
 
 @define(slots=True, eq=False, repr=False)
@@ -30,6 +32,9 @@
     state: BalancerState
     loads: dict[str, AgentLoad] = field(factory=dict)
     _next_ping_s: float = 0.0
+    # The entries that were checked last, and the live agents without one.
+    _checked: dict[str, AgentEntry] | None = None
+    _unlisted_ips: set[str] = field(factory=set)
 
     def load_of(self, ip: str) -> AgentLoad:
         """Returns an agent's load; creates it on first use."""
@@ -112,6 +117,8 @@
         if now_s < self._next_ping_s:
             return
         self._next_ping_s = now_s + PING_PERIOD_S
+        self._notify_unlisted(now_s)
+        is_cut_off = self.is_cut_off(now_s)
         state = self.state
         ping = ForwardedPacket(FrameKind.PING, state.ip, b'')
         for entry in state.directory.agents.values():
@@ -119,7 +126,8 @@
             if load is None or not load.silent_since_s:
                 continue
             state.forward(entry.ip, ping)
-            if now_s - load.silent_since_s >= REMOVED_AFTER_S:
+            is_gone = now_s - load.silent_since_s >= REMOVED_AFTER_S
+            if is_gone and not is_cut_off:
                 load.silent_since_s = now_s
                 state.events.note_urgently(
                     'agent-removed',
@@ -128,6 +136,25 @@
                 )
                 state.output.remove_agent(entry.name)
 
+    def _notify_unlisted(self, now_s: float) -> None:
+        """Tells agents that answer, but have no entry, to register again.
+
+        Another balancer, to which they were silent, has removed the entry. An
+        agent with open flows must be back soon: a balancer that searches for
+        a holder takes a list of agents for complete.
+        """
+        directory = self.state.directory
+        if directory.agents is not self._checked:
+            self._checked = directory.agents
+            self._unlisted_ips = self.loads.keys() - directory.agent_ips()
+        for ip in self._unlisted_ips:
+            load = self.loads.get(ip)
+            if load is None or now_s - load.reported_s > HEARD_WITHIN_S:
+                continue
+            self.state.events.note('agent-unlisted', agent=ip)
+            frame = ForwardedPacket(FrameKind.ENTRY_MISSING, self.state.ip, b'')
+            self.state.forward(ip, frame)
+
     def expire(self) -> None:
         """Drops the loads of agents without an entry."""
         known_ips = self.state.directory.agent_ips()
--- a/cumindrift/steering/balancer/outlook.py
+++ b/cumindrift/steering/balancer/outlook.py
@@ -35,12 +35,16 @@
 
     Under overload, the SYNs of the lower priorities wait in vain: more urgent
     ones and newer ones are served before them. They are refused early, while a
-    retry of their client could still be in time.
+    retry of their client could still be in time. A surge may be over before
+    the SYNs that wait have to leave, so early refusals begin only when one of
+    them has waited for nothing.
     """
 
     _arrived: dict[int, DecayingCount] = field(factory=dict)
     _opened: DecayingCount = field(factory=_rate_factory)
     _opened_s: float = 0.0
+    # The priorities whose SYNs wait in vain.
+    _futile: set[int] = field(factory=set)
     _refused_s: float = -inf
     _is_refusing: bool = False
 
@@ -54,6 +58,11 @@
         self._opened.add(now_s)
         self._opened_s = now_s
 
+    def on_expired(self, limits: RequestLimits, now_s: float) -> None:
+        """Records a SYN that has waited as long as its route allows."""
+        if self.is_overloaded(limits.priority, now_s):
+            self._futile.add(limits.priority)
+
     def is_overloaded(self, priority: int, now_s: float) -> bool:
         """Returns whether SYNs up to this priority come faster than they go."""
         opened_count = self._opened.at(now_s)
@@ -65,9 +74,12 @@
 
     def held_s(self, limits: RequestLimits, now_s: float) -> float | None:
         """Returns how long a SYN may wait; None if it may use its budget."""
-        if self.is_overloaded(limits.priority, now_s):
-            return limits.target_latency_s * HELD_SHARE
-        return None
+        if limits.priority not in self._futile:
+            return None
+        if not self.is_overloaded(limits.priority, now_s):
+            self._futile.discard(limits.priority)
+            return None
+        return limits.target_latency_s * HELD_SHARE
 
     def arrived_count(self, priority: int, now_s: float) -> float:
         """Returns the decaying count of SYNs that are at least as urgent."""
--- a/cumindrift/steering/balancer/placer.py
+++ b/cumindrift/steering/balancer/placer.py
@@ -295,6 +295,7 @@
             queue.drop(key)
             hint = self.state.hints.get(key)
             if hint is not None:
+                queue.outlook.on_expired(hint.limits, now_s)
                 self._give_up(hint)
 
     def _refuse_early(self, queue: OpenQueue, now_s: float) -> None:
--- a/cumindrift/steering/frame.py
+++ b/cumindrift/steering/frame.py
@@ -36,7 +36,8 @@
 class FrameKind(IntEnum):
     """The type of a frame; the numbers are part of the wire format."""
 
-    # Kinds sent to agents; all but PING contain a client's packet.
+    # Kinds sent to agents; all but PING and ENTRY_MISSING
+    # contain a client's packet.
     # A SYN; an agent whose target does not take it forwards it to the next
     # candidate.
     OPEN = 1
@@ -48,6 +49,8 @@
     PING = 4
     # Asks the agent to search the candidates for the flow's holder.
     DELEGATED_SEARCH = 5
+    # Tells an agent that answers that it has no entry in the store any more.
+    ENTRY_MISSING = 6
     # Kinds sent to balancers. An agent that sent a SEARCH also gets ABSENT.
     # The target holds the flow.
     HELD = 11
--- a/cumindrift/steering/page.py
+++ b/cumindrift/steering/page.py
@@ -11,6 +11,7 @@
 from cumindrift.registry import Registry
 
 STATUS_OK = 200
+STATUS_CONFLICT = 409
 STATUS_UNAVAILABLE = 503
 
 page_routes: Registry[Route] = Registry('page route')
--- a/features/node_balancer.feature
+++ b/features/node_balancer.feature
@@ -36,10 +36,26 @@
   Scenario: The entry of an agent that stays silent is removed
     Given a balancer that knows 3 agents
     When the client sends a SYN
-    And 19 s go by
+    And 19 s go by while agent 3 answers
     Then no entry is removed
-    When 2 s go by
-    Then 2 or more entries are removed
+    When 2 s go by while agent 3 answers
+    Then 2 entries are removed
+
+  # Guards against a balancer that is cut off and takes its own silence for the
+  # end of agents that others reach.
+  Scenario: A balancer that hears nobody removes nobody
+    Given a balancer that knows 3 agents
+    When the client sends a SYN
+    And 30 s go by
+    Then no entry is removed
+
+  # Guards against open flows that are reset since another balancer has removed
+  # the entry of the agent that holds them.
+  Scenario: An agent that answers but has no entry is told so
+    Given a balancer that knows 3 agents
+    And a flow that agent 2 holds
+    When the entry of agent 2 vanishes
+    Then agent 2 is told within 0.4 s that it has no entry
 
   Scenario: A balancer is cut off while no agent answers
     Given a balancer that knows 3 agents
--- a/features/steps/node_explain_steps.py
+++ b/features/steps/node_explain_steps.py
@@ -17,6 +17,7 @@
     state_of,
 )
 from features.builders.node import (
+    SERVICE,
     SERVICE_ADDRESS,
     SYN,
     agent_ip,
@@ -78,10 +79,18 @@
     context.states = (before, state_of(context.bench))
 
 
+@when('a SYN of the queue has waited in vain')
+def step_in_vain(context):
+    bench = context.bench
+    queue = bench.core.placer.queues[SERVICE]
+    limits = bench.directory.manifest.limits_at(SERVICE_ADDRESS)
+    queue.outlook.on_expired(limits, bench.now_s)
+
+
 @when('a flow opens')
 def step_opens(context):
     bench = context.bench
-    bench.core.placer.queues['kaynti'].outlook.on_opened(bench.now_s)
+    bench.core.placer.queues[SERVICE].outlook.on_opened(bench.now_s)
 
 
 @when('its copies are confirmed and agent 1 reports, and 2 s go by')
