Agents whose target cannot serve no longer attract new flows

Cause: an agent without a target, or with one that leaves, reports no work, so it ranked first, took a hop of most new flows and passed them on. Change: it reports no slots, and is avoided for 0.6 s, then twice as long with each such report, up to 5 s. Only where targets are judged.

--- a/cumindrift/steering/agent/state.py
+++ b/cumindrift/steering/agent/state.py
@@ -107,14 +107,16 @@
         work = self.table.work
         busy_count = work.count
         response_ms = work.response_ms(now_s)
+        slots = self.target.slots
         if self.judges_target:
             busy_count += work.expected_count
             response_ms = work.service_ms(now_s)
+            slots = slots if self.target.can_serve(now_s) else 0
         return Load(
             self.table.open_count,
             busy_count,
             response_ms,
-            self.target.slots,
+            slots,
             self._failure_percent(now_s),
         )
 
--- a/cumindrift/steering/agent/target.py
+++ b/cumindrift/steering/agent/target.py
@@ -152,16 +152,26 @@
             return Refusal.OTHER_SERVICE
         if self.is_leaving:
             return Refusal.DRAINING
-        if self.is_gone or self.is_silent or self._has_missed_heartbeats(now_s):
+        if self._is_silent(now_s):
             return Refusal.SILENT
         if not self._has_cold_capacity(cold_rate, now_s):
             return Refusal.COLD
         return None
 
+    def can_serve(self, now_s: float) -> bool:
+        """Returns whether the target runs and does not leave."""
+        if self.last_heartbeat is None or self.is_leaving:
+            return False
+        return not self._is_silent(now_s)
+
     def count_open(self, now_s: float) -> None:
         """Counts a new flow against the limit of a cold target."""
         self._opened_s.append(now_s)
 
+    def _is_silent(self, now_s: float) -> bool:
+        is_known = self.is_gone or self.is_silent
+        return is_known or self._has_missed_heartbeats(now_s)
+
     def _has_missed_heartbeats(self, now_s: float) -> bool:
         """Returns whether the address may belong to another target by now."""
         allowed_s = min(
--- a/cumindrift/steering/balancer/agent_monitor.py
+++ b/cumindrift/steering/balancer/agent_monitor.py
@@ -66,7 +66,8 @@
 
     def avoid(self, ip: str, now_s: float) -> None:
         """Ranks an agent that did not take a new flow lower for a while."""
-        self.load_of(ip).avoided_until_s = now_s + AVOIDED_S
+        load = self.load_of(ip)
+        load.avoided_until_s = max(load.avoided_until_s, now_s + AVOIDED_S)
 
     def is_silent(self, ip: str) -> bool:
         """Returns whether an agent has an answer outstanding."""
--- a/cumindrift/steering/balancer/load.py
+++ b/cumindrift/steering/balancer/load.py
@@ -11,6 +11,9 @@
 CANDIDATES_MAX = 4
 # How long an agent that did not take a SYN is tried only after the others.
 AVOIDED_S = 0.3
+# An agent whose target cannot serve is avoided twice as long with each report
+# of it, up to this time. It would attract new flows, since it is idle.
+UNABLE_AVOIDED_MAX_S = 5.0
 UNKNOWN_RESPONSE_MS = 50
 MS_PER_S = 1000
 # Where targets are judged by what they do, the penalty of a failing one fades
@@ -28,6 +31,8 @@
     reported_s: float = 0.0
     sent_count: int = 0
     avoided_until_s: float = 0.0
+    # How many reports in a row have said that the target cannot serve.
+    unable_count: int = 0
     # When the agent first left a SYN unanswered; 0 while it answers.
     silent_since_s: float = 0.0
     # How long the penalty of a report lasts.
@@ -39,6 +44,12 @@
         self.reported_s = now_s
         self.sent_count = 0
         self.silent_since_s = 0.0
+        if report.slots:
+            self.unable_count = 0
+        elif now_s >= self.avoided_until_s:
+            self.unable_count += 1
+            avoided_s = AVOIDED_S * 2**self.unable_count
+            self.avoided_until_s = now_s + min(avoided_s, UNABLE_AVOIDED_MAX_S)
 
     def response_ms(self, now_s: float) -> float:
         """Estimates the response time for a request of a new flow, in ms.
--- a/cumindrift/steering/frame.py
+++ b/cumindrift/steering/frame.py
@@ -117,7 +117,8 @@
 class Load:
     """The load of a target, which its agent includes in each report.
 
-    `failure_percent` is added to the cost of a target that failed lately.
+    `failure_percent` is added to the cost of a target that failed lately. A
+    target that is not there, or leaves, has no `slots`.
     """
 
     flow_count: int = 0
--- a/features/builders/ranking.py
+++ b/features/builders/ranking.py
@@ -63,3 +63,11 @@
         best = self.ranking.order(flow, (), Random(1), self.bench.now_s)[0]
         self.bench.core.agent_monitor.load_of(best.ip).sent_count += 1
         return best.data_centre
+
+    def wait_until_tried(self, index: int) -> None:
+        """Passes time until an agent no longer ranks as avoided."""
+        monitor = self.bench.core.agent_monitor
+        while monitor.unavailability_rank(
+            self.entries[index], self.bench.now_s
+        ):
+            self.bench.now_s += 0.05
--- a/features/node_cost.feature
+++ b/features/node_cost.feature
@@ -35,3 +35,13 @@
     And the balancer trusts targets
     And the agent here has 1 requests in progress, the other 0
     Then a flow with a target latency of 400 ms goes elsewhere
+
+  # Guards against agents without a target that attract each new flow, since
+  # they are idle, and pass all of them on.
+  Scenario: An agent whose target cannot serve is avoided longer each time
+    Given agents of 2 slots that take 50 ms, one here and one elsewhere
+    When the agent here reports 3 times, each when it is tried, that it cannot serve
+    Then a flow with a target latency of 400 ms goes elsewhere for 2.3 s
+    When the agent here reports that it can serve
+    And 2.5 s go by at its balancer
+    Then a flow with a target latency of 400 ms goes here
--- a/features/steps/node_cost_steps.py
+++ b/features/steps/node_cost_steps.py
@@ -58,3 +58,35 @@
 def step_shared(context, low, high):
     count = sum(place != HERE for place in context.places)
     assert low <= count <= high, count
+
+
+@when(
+    'the agent here reports {count:d} times, each when it is tried, '
+    'that it cannot serve'
+)
+def step_unable(context, count):
+    agents = context.agents
+    for _ in range(count):
+        agents.wait_until_tried(0)
+        agents.report(0, slots=0)
+
+
+@when('the agent here reports that it can serve')
+def step_able(context):
+    context.agents.report(0)
+
+
+@when('{seconds:g} s go by at its balancer')
+def step_pass(context, seconds):
+    context.agents.bench.now_s += seconds
+
+
+@then(
+    'a flow with a target latency of {latency_ms:d} ms goes elsewhere '
+    'for {seconds:g} s'
+)
+def step_stays_away(context, latency_ms, seconds):
+    end_s = context.agents.bench.now_s + seconds
+    while context.agents.bench.now_s < end_s:
+        assert context.agents.place(latency_ms) != HERE
+        context.agents.bench.now_s += 0.1
