The emulator plays nodes that judge their targets

Change: the experiment key judges_targets (default false), the fault target-failing and the experiment priority-overload; routes of the emulated manifest say whether their requests are idempotent.

--- a/features/emulator.feature
+++ b/features/emulator.feature
@@ -17,6 +17,20 @@
     When the experiment overload is played at 1 and at 3 times what it can do
     Then the requests served a second differ by 0.2 at the most
 
+  # Guards against admission in order of arrival: at twice the capacity, both classes
+  # were refused alike, and half of the urgent requests were late.
+  Scenario: Under overload, urgent requests are answered in time
+    When the experiment priority-overload is played with and without judged targets
+    Then judged, 0.98 of the class order is in time, and 0.3 more than otherwise
+    And judged, the class browse is served too
+
+  # Guards against targets that reset each request, look idle by it, and attract the
+  # next ones.
+  Scenario: Targets that reset their requests lose few of them
+    When 2 targets of failing-targets fail with and without judged targets
+    Then judged, 0.97 is served in each window, and otherwise less
+    And no promise is broken
+
   Scenario: The same experiment gives the same result
     When the experiment short-limits is played twice
     Then both runs have the same requests, frames and latencies
--- a/features/steps/emulator_steps.py
+++ b/features/steps/emulator_steps.py
@@ -12,7 +12,7 @@
     load_experiment,
     text_with,
 )
-from lab.emulator.experiment import read_experiment
+from lab.emulator.experiment import FaultPlan, read_experiment
 from lab.emulator.fuzz import run_fuzz
 from lab.emulator.play import known_choices, play
 
@@ -50,6 +50,61 @@
     context.results = [play(load_experiment(name)) for _ in range(2)]
 
 
+@when('the experiment {name} is played with and without judged targets')
+def step_play_judged(context, name):
+    play_judged(context, load_experiment(name))
+
+
+@when('{count:d} targets of {name} fail with and without judged targets')
+def step_play_failing(context, count, name):
+    fault = FaultPlan(kind='target-failing', at_s=4, for_s=6, count=count)
+    plan = load_experiment(name)
+    play_judged(context, evolve(plan, faults=(fault,), length_s=16))
+
+
+def play_judged(context, plan):
+    """Plays a plan with judged targets, and beside it without."""
+    context.result, context.unjudged = (
+        play(evolve(plan, judges_targets=judges)) for judges in (True, False)
+    )
+
+
+@then(
+    'judged, {share:g} of the class {name} is in time,'
+    ' and {gain:g} more than otherwise'
+)
+def step_urgent(context, share, name, gain):
+    judged = share_in_time(context.result, name)
+    otherwise = share_in_time(context.unjudged, name)
+    assert judged >= max(share, otherwise + gain), (judged, otherwise)
+
+
+@then('judged, the class {name} is served too')
+def step_not_starved(context, name):
+    judged = share_in_time(context.result, name)
+    assert judged >= share_in_time(context.unjudged, name), judged
+
+
+def share_in_time(result, name):
+    """Returns the share of a class's requests that are served in time."""
+    found = [each for each in result.ledger.records if each.class_name == name]
+    in_time = [
+        each
+        for each in found
+        if each.is_served and each.latency_s <= each.target_latency_s
+    ]
+    return len(in_time) / len(found)
+
+
+@then('judged, {share:g} is served in each window, and otherwise less')
+def step_few_lost(context, share):
+    judged, otherwise = (
+        min(each.served_share for each in result.windows)
+        for result in (context.result, context.unjudged)
+    )
+    assert judged >= share > otherwise, (judged, otherwise)
+
+
 @given('an experiment with {what}')
 def step_faulty(context, what):
     with TemporaryDirectory() as folder:
--- a/lab/emulator/experiment.py
+++ b/lab/emulator/experiment.py
@@ -48,7 +48,8 @@
     """A deployment, its load and its faults.
 
     Times are in seconds of virtual time. `load` scales the rates of all
-    classes. `router` and `queue_order` name entries of registries.
+    classes. `router` and `queue_order` name entries of registries. With
+    `judges_targets`, nodes run as under the contract `health`.
     """
 
     name: str
@@ -67,6 +68,7 @@
     load: float = field(default=1.0, validator=gt(0))
     router: str = 'steady'
     queue_order: str = 'urgent-first'
+    judges_targets: bool = False
     classes: tuple[RequestClass, ...] = ()
     faults: tuple[FaultPlan, ...] = ()
 
--- a/lab/emulator/fault.py
+++ b/lab/emulator/fault.py
@@ -111,6 +111,14 @@
             _later(world, down_s + period_s, agent.target.restart)
 
 
+@faults.register('target-failing')
+def fail_targets(world: World, plan: FaultPlan) -> None:
+    """Some targets accept flows and reset them with the request."""
+    for agent in _some_agents(world, plan):
+        agent.target.is_failing = True
+        _later(world, plan.for_s, agent.target.stop_failing)
+
+
 @faults.register('target-slow')
 def slow_targets(world: World, plan: FaultPlan) -> None:
     """Some targets take `factor` times as long."""
--- a/lab/emulator/fuzz.py
+++ b/lab/emulator/fuzz.py
@@ -56,6 +56,7 @@
         slots=draw(st.integers(1, 4)),
         speeds=draw(st.sampled_from(((1.0,), (0.55, 1.2, 1.2)))),
         router=draw(st.sampled_from(('steady', 'mod'))),
+        judges_targets=draw(st.booleans()),
         classes=(
             draw(request_classes('first')),
             draw(request_classes('second')),
--- a/lab/emulator/node.py
+++ b/lab/emulator/node.py
@@ -72,6 +72,7 @@
     random: Random
     send_frame: Callable[[str, str, bytes], None]
     send_client: Callable[[str, bytes, bytes], None]
+    judges_targets: bool = False
     is_up: bool = False
     is_frozen: bool = False
     # The end of the last fault that hit this node.
@@ -168,6 +169,7 @@
             self.events(),
             self.data_centre,
             Directory(),
+            self.judges_targets,
             output=self,
         )
         core = BalancerCore(
@@ -265,6 +267,7 @@
             SERVICE,
             target,
             FlowTable(60.0, 60.0),
+            judges_target=self.judges_targets,
             input_age=InputAge(self.clock),
             output=self,
         )
--- a/lab/emulator/target.py
+++ b/lab/emulator/target.py
@@ -49,6 +49,8 @@
     incarnation: int = 1
     is_up: bool = True
     is_draining: bool = False
+    # Whether it accepts flows and resets them when data comes.
+    is_failing: bool = False
     slowness: float = 1.0
     # When it may take no SYN any more; 0 while it may.
     closed_from_s: float = 0.0
@@ -98,6 +100,10 @@
         self.closed_from_s = 0.0
         self.restart()
 
+    def stop_failing(self) -> None:
+        """Answers requests again."""
+        self.is_failing = False
+
     def recover_speed(self) -> None:
         """Works at its usual speed again."""
         self.slowness = 1.0
@@ -142,6 +148,11 @@
             return
         if not packet.payload_bytes:
             return
+        if self.is_failing:
+            self.flows.pop(key)
+            self._forget_queued(key)
+            self._send(key, RST, packet.acknowledged, 0)
+            return
         if packet.sequence <= flow.request_sequence:
             # A retransmission, which may also arrive after later packets.
             if flow.response:
--- a/lab/emulator/world.py
+++ b/lab/emulator/world.py
@@ -140,6 +140,7 @@
             self.random,
             self.to_node,
             self.to_client,
+            self.plan.judges_targets,
             store=self.store,
             queue_order=self.plan.queue_order,
         )
@@ -155,6 +156,7 @@
             self.random,
             self.to_node,
             self.to_client,
+            plan.judges_targets,
         )
         agent.target = EmulatedTarget(
             ip,
@@ -188,6 +190,7 @@
                     each.time_limit_ms / _MS_PER_S,
                     each.target_latency_ms / _MS_PER_S,
                     each.priority,
+                    each.is_idempotent,
                 )
                 for place, each in places.items()
             },
