The soak lets nodes judge targets, with failing, slow and busy ones

Cause: no real node processes had run with the contract 'health'. The promise served says that new flows open around a failing target, that it gets no more than trials from 4 s on, and that a target answers a new flow within 20 s after it has recovered.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -36,6 +36,18 @@
     Then no promise was broken
     And it opened 100 flows or more
 
+  # Guards against clients that lose one flow after another to a target that looks
+  # idle because it resets them, and against targets that stay ejected.
+  Scenario: Clients are served around failing targets, which return
+    When the soak runs seed 61 with 9 s of failing judged targets
+    Then no promise was broken
+    And targets that had failed served again
+
+  # Guards against runs of earlier seeds that change because faults were added.
+  Scenario: Faults of judged targets are refused if nodes do not judge
+    When the soak runs seed 61 with 9 s of the fault failing
+    Then it is refused, since failing needs --judges_targets
+
   # Guards against a harness that fails, and mixes up the incarnations of a target,
   # when a crash and a drain of it overlap.
   Scenario: A target that is ended by two faults is started again once
@@ -57,4 +69,7 @@
       | a draining target receives a SYN after the time to drain   | drain    |
       | a target receives a SYN after the time to evacuate         | evacuate |
       | a target receives a SYN after the time to apply a manifest | manifest |
+      | a flow does not open although only one target fails        | served   |
+      | a failing target gets two new flows at once                | served   |
+      | a recovered target gets no new flow                        | served   |
       | a handler of the soak itself fails                         | driver   |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -13,6 +13,7 @@
 from lab.soak.client import ClientFlow, SoakClient
 from lab.soak.failure import FailureRecorder
 from lab.soak.promise import Ledger
+from lab.soak.served import RETURN_S, ServedWatch
 from lab.soak.target import SoakTarget
 from lab.soak.wire import ACK, SYN, make_packet
 
@@ -30,6 +31,19 @@
     run_soak(context, seed, faults_s, f'--faults={name}')
 
 
+@when(
+    'the soak runs seed {seed:d} with {faults_s:d} s of failing judged targets'
+)
+def step_run_judged(context, seed, faults_s):
+    run_soak(
+        context,
+        seed,
+        faults_s,
+        '--faults=failing,burst',
+        '--judges_targets',
+    )
+
+
 def run_soak(context, seed, faults_s, *flags):
     """Runs one seed as a process of its own; keeps its result."""
     command = (
@@ -53,6 +67,19 @@
     assert context.soak.returncode == 0, context.soak
 
 
+@then('targets that had failed served again')
+def step_served_again(context):
+    text = context.soak.stdout
+    assert "'recovered targets that served again'" in text, text
+
+
+@then('it is refused, since {name} needs --judges_targets')
+def step_needs_flag(context, name):
+    assert context.soak.returncode == 2, context.soak
+    told = f"['{name}'] need --judges_targets"
+    assert told in context.soak.stderr, context.soak
+
+
 @then('it opened {count:d} flows or more')
 def step_opened(context, count):
     found = re.search(r"'flows opened': (\d+)", context.soak.stdout)
@@ -142,6 +169,38 @@
     context.target.receive_packet(opening())
 
 
+@when('a flow does not open although only one target fails')
+def step_not_opened_beside(context):
+    context.client.served_from_s = context.now_s - 1
+    add_flow(context, is_open=False)
+    context.now_s += 2
+    context.client.tick()
+
+
+@when('a failing target gets two new flows at once')
+def step_two_trials(context):
+    target = context.target
+    target.begin_failing()
+    target.served_from_s = context.now_s
+    context.now_s += 1
+    for port in (PORT, PORT + 1):
+        client = (inet_aton(CLIENT_IP), port)
+        target.receive_packet(make_packet(client, SYN, 1000, 0))
+        (flow,) = target.flows.values()
+        acknowledged = flow.sequence + 1
+        request = make_packet(client, ACK, 1001, acknowledged, b'request')
+        target.receive_packet(request)
+
+
+@when('a recovered target gets no new flow')
+def step_not_returned(context):
+    context.target.begin_failing()
+    context.target.end_failing()
+    context.now_s += RETURN_S + 1
+    watch = ServedWatch(context.ledger)
+    watch.check_returns([context.target], context.now_s)
+
+
 @then('the promise {promise} is recorded as broken')
 def step_noted(context, promise):
     assert len(context.ledger.breaches) == 1, context.ledger.breaches
--- a/lab/soak/client.py
+++ b/lab/soak/client.py
@@ -73,6 +73,11 @@
         # End of the time to recover after the last fault, from when on a
         # failure breaks a promise; 0 while it is not known.
         self.healthy_from_s = 0.0
+        # From when on new flows have to open although a target fails; 0 while
+        # none does.
+        self.served_from_s = 0.0
+        # How many times as fast as usual it opens flows.
+        self.surge = 1
         self.flows: dict[int, ClientFlow] = {}
         self._octets = inet_aton(ip)
         self._random = random
@@ -93,8 +98,8 @@
         """Opens flows, sends requests and retransmits unanswered packets."""
         now_s = self._clock()
         if (
-            len(self.flows) < FLOWS_MAX
-            and self._random.random() < OPEN_PROBABILITY
+            len(self.flows) < FLOWS_MAX * self.surge
+            and self._random.random() < OPEN_PROBABILITY * self.surge
         ):
             self._open(now_s)
         for flow in list(self.flows.values()):
@@ -228,6 +233,10 @@
     def _fail(self, flow: ClientFlow, what: str, now_s: float) -> None:
         self.flows.pop(flow.port, None)
         self._ledger.count(what)
+        is_served = flow.is_open or flow.opened_s <= self.served_from_s
+        if self.served_from_s and not is_served:
+            detail = f'{self.ip}:{flow.port}, {what} beside a failing target'
+            self._ledger.breach('served', now_s, detail)
         if self.healthy_from_s and flow.opened_s > self.healthy_from_s:
             detail = f'{self.ip}:{flow.port}, {what}'
             self._ledger.breach('recover', now_s, detail)
--- a/lab/soak/cluster.py
+++ b/lab/soak/cluster.py
@@ -145,6 +145,8 @@
             'bootstrap': node.start_count == 0,
             'heartbeat_ms': int(HEARTBEAT_S * 1000),
         }
+        if topology.judges_targets:
+            fields['contracts'] = ['health']
         listen = {'datagram_addr': PACKETS_PORT, 'ready_addr': READY_PORT}
         if node.role == 'agent':
             listen |= {'outbound': OUTBOUND_PORT, 'control': CONTROL_PORT}
--- a/lab/soak/fault.py
+++ b/lab/soak/fault.py
@@ -14,6 +14,19 @@
 # How old lists that may be stale are while they lag.
 LAG_MIN_S, LAG_MAX_S = EVACUATE_S + 1.0, EVACUATE_S + 3.0
 
+# Faults that are drawn only where nodes judge targets, so that the seeds of
+# other runs draw what they always drew.
+JUDGED_FAULTS = frozenset(('burst', 'failing', 'slow'))
+# Faults that leave room at other targets, and all reports.
+HARMLESS_FAULTS = frozenset(('burst', 'failing'))
+# At most one of this many targets fails, so that the others have room.
+FAILING_DIVISOR = 4
+# How many times as fast clients open flows in a burst.
+BURST_FACTOR = 3
+# How late a slow target answers: within the client's time limit of 8 s, partly
+# beyond the target latency of 0.5 s and the time limit of 2 s of the route.
+SLOW_MIN_S, SLOW_MAX_S = 0.2, 2.5
+
 # A fault takes the harness and its random generator and starts. It returns
 # pairs of a delay in seconds and the function that then ends it, or no pairs
 # if nothing has to be ended.
@@ -103,6 +116,40 @@
     return ((random.uniform(5.0, 8.0), restart),)
 
 
+@faults.register('burst')
+def burst(harness: Any, random: Random) -> ScheduledEnds:
+    """Makes clients open flows BURST_FACTOR times as fast for a while."""
+    for client in harness.clients:
+        client.surge = BURST_FACTOR
+
+    def end() -> None:
+        for client in harness.clients:
+            client.surge = 1
+
+    return ((random.uniform(2.0, 5.0), end),)
+
+
+@faults.register('slow')
+def slow_target(harness: Any, random: Random) -> ScheduledEnds:
+    """Makes a target answer late for a while."""
+    target = random.choice(harness.targets)
+    target.delay_s = random.uniform(SLOW_MIN_S, SLOW_MAX_S)
+
+    return ((random.uniform(2.0, 6.0), target.end_delay),)
+
+
+@faults.register('failing')
+def fail_target(harness: Any, random: Random) -> ScheduledEnds:
+    """Makes a target accept flows and reset them when data comes."""
+    target = random.choice(harness.routed_targets())
+    failing = [each for each in harness.targets if each.failing_since_s]
+    is_full = len(failing) >= len(harness.targets) // FAILING_DIVISOR
+    if is_full or target in failing or not target.is_running:
+        return ()
+    target.begin_failing()
+    return ((random.uniform(6.0, 10.0), target.end_failing),)
+
+
 @faults.register('store')
 def degrade_store(harness: Any, random: Random) -> ScheduledEnds:
     """Makes the store unavailable, busy, slow or lossy for a while."""
--- a/lab/soak/harness.py
+++ b/lab/soak/harness.py
@@ -13,9 +13,10 @@
 from lab.soak.cluster import Cluster
 from lab.soak.fabric import Fabric
 from lab.soak.failure import FailureRecorder
-from lab.soak.fault import faults
+from lab.soak.fault import HARMLESS_FAULTS, JUDGED_FAULTS, faults
 from lab.soak.promise import Ledger
 from lab.soak.proxy import StoreProxy
+from lab.soak.served import ServedWatch
 from lab.soak.target import SoakTarget
 from lab.soak.topology import RECOVER_S, SERVICE_ADDRESS, SERVICES, Topology
 from standin.store import StoreModel, store_routes
@@ -48,11 +49,12 @@
         self.ledger = Ledger()
         self.injected: list[tuple[float, str]] = []
         self._random = Random(seed)
-        self._fault_names = names or faults.names()
+        self._fault_names = names or self._default_faults()
         self._start_s = monotonic()
         self._faults_until_s = STARTUP_S + faults_s
         self._next_fault_s = STARTUP_S
-        self._pending_ends: list[tuple[float, Any]] = []
+        self._pending_ends: list[tuple[float, Any, str]] = []
+        self._served = ServedWatch(self.ledger)
         self._is_fault_phase_over = False
         self._version = 1
         self._evacuated: set[str] = set()
@@ -112,6 +114,14 @@
         """Returns the service that gets new flows."""
         return self._routed_service
 
+    def routed_targets(self) -> list[SoakTarget]:
+        """Returns the targets of the service that gets new flows."""
+        return [
+            target
+            for target in self.targets
+            if target.service == self._routed_service
+        ]
+
     def expect_manifest(self) -> None:
         """Has targets of other services take SYNs by an old manifest for late.
 
@@ -203,9 +213,30 @@
             self._end_fault_phase(now_s)
         elif self._next_fault_s <= now_s < self._faults_until_s:
             self._begin_fault(now_s)
-        if now_s >= self.length_s:
+        self._check_served(now_s)
+        targets = self.routed_targets()
+        has_all_back = not any(target.recovered_s for target in targets)
+        if now_s >= self.length_s and has_all_back:
             self.stop()
 
+    def _default_faults(self) -> list[str]:
+        return [
+            name
+            for name in faults.names()
+            if self.topology.judges_targets or name not in JUDGED_FAULTS
+        ]
+
+    def _check_served(self, now_s: float) -> None:
+        targets = self.routed_targets()
+        self._served.check_returns(targets, now_s)
+        served_from_s = self._served.served_from_s(targets)
+        for part in (*self.clients, *self.targets):
+            part.served_from_s = served_from_s
+
+    def _note_disturbance(self, name: str, now_s: float) -> None:
+        if name not in HARMLESS_FAULTS:
+            self._served.disturbed_s = now_s
+
     def _begin_fault(self, now_s: float) -> None:
         gap_s = self._random.uniform(FAULT_GAP_MIN_S, FAULT_GAP_MAX_S)
         self._next_fault_s = now_s + gap_s
@@ -214,19 +245,22 @@
         if name != UNHEARD:
             self.excuse_manifests()
         for delay_s, end in faults.get(name)(self, self._random):
-            self._pending_ends.append((now_s + delay_s, end))
+            self._pending_ends.append((now_s + delay_s, end, name))
+        self._note_disturbance(name, now_s)
 
     def _end_faults(self, now_s: float) -> None:
         due = [ending for ending in self._pending_ends if ending[0] <= now_s]
         for ending in due:
             self._pending_ends.remove(ending)
             ending[1]()
+            self._note_disturbance(ending[2], now_s)
 
     def _end_fault_phase(self, now_s: float) -> None:
         """Ends all faults; clients check recovery RECOVER_S later."""
         self._is_fault_phase_over = True
-        for _, end in self._pending_ends:
+        for _, end, name in self._pending_ends:
             end()
+            self._note_disturbance(name, now_s)
         self._pending_ends.clear()
         self.cluster.resume_paused()
         self.put_manifest(SERVICES[0])
--- a/lab/soak/run.py
+++ b/lab/soak/run.py
@@ -17,7 +17,7 @@
 from attrs import define
 from circuits.core.pollers import EPoll
 
-from lab.soak.fault import faults
+from lab.soak.fault import JUDGED_FAULTS, faults
 from lab.soak.harness import SoakHarness
 from lab.soak.topology import Topology
 
@@ -31,6 +31,9 @@
 _CLIENTS = flags.DEFINE_integer('clients', 12, 'Clients.')
 _SLOT = flags.DEFINE_integer('slot', 0, 'Address range of this run.')
 _KEEP = flags.DEFINE_string('keep', '', 'Log folder; a new one if empty.')
+_JUDGES = flags.DEFINE_bool(
+    'judges_targets', False, 'Nodes judge targets by what they do.'
+)
 REGRESSIONS = Path(__file__).with_name('regressions.txt')
 SEED_MAX = 10**9
 BREACHES_SHOWN_MAX = 12
@@ -83,6 +86,7 @@
         _AGENTS.value,
         _CLIENTS.value,
         folder,
+        _JUDGES.value,
     )
     harness = SoakHarness(
         topology, case.seed, case.faults_s, list(case.fault_names)
@@ -119,6 +123,10 @@
     if unknown:
         sys.stderr.write(f'unknown faults {unknown}; {faults.names()}\n')
         return 2
+    judged = JUDGED_FAULTS.intersection(_FAULTS.value)
+    if judged and not _JUDGES.value:
+        sys.stderr.write(f'{sorted(judged)} need --judges_targets\n')
+        return 2
     cases = list_cases()
     broken_count = 0
     for case in cases:
--- a/lab/soak/target.py
+++ b/lab/soak/target.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Callable
+from math import inf
 from random import Random
 from socket import AF_INET, SO_REUSEADDR, SOCK_STREAM, SOL_SOCKET, socket
 from time import time
@@ -15,7 +16,7 @@
     HttpClientResponse,
     HttpExchange,
 )
-from cumindrift.platform.packet import read_from_client
+from cumindrift.platform.packet import build_reset, read_from_client
 from cumindrift.port import DatagramPort
 from cumindrift.supervision import Child
 from lab.soak.promise import Ledger
@@ -32,6 +33,7 @@
 from lab.soak.wire import (
     ACK,
     FIN,
+    HEADER_BYTES,
     SYN,
     bounce,
     has_valid_checksum,
@@ -40,6 +42,9 @@
 )
 
 _MS_PER_S = 1000
+# The route of the soak has no idempotent requests, so an ejected target gets a
+# trial this long after an ejection at the earliest.
+TRIAL_GAP_S = 2.0
 STATUS_OK = 200
 
 
@@ -48,6 +53,7 @@
     """State of a flow at its target; `responses` is by request sequence."""
 
     sequence: int
+    opened_s: float = 0.0
     is_open: bool = False
     responses: dict[int, bytes] = field(factory=dict)
 
@@ -79,6 +85,17 @@
         # When a manifest routed its service address elsewhere; 0 if none has,
         # or if a fault excuses balancers that have not heard of it.
         self.unrouted_s = 0.0
+        # When it began to fail; 0 while it answers.
+        self.failing_since_s = 0.0
+        # When it ceased to fail; 0 once a new flow was answered since.
+        self.recovered_s = 0.0
+        # From when on only trials may reach it while it fails; 0 if unknown.
+        self.served_from_s = 0.0
+        # How long it takes to answer a request.
+        self.delay_s = 0.0
+        self._reset_s = -inf
+        # Packets that are handled later, in the order of their times.
+        self._delayed: list[tuple[float, Any]] = []
         self.last_ack_s = 0.0
         # Wall-clock error of the start time that the next incarnation reports.
         self.clock_step_s = 0.0
@@ -101,6 +118,8 @@
         self.is_running = True
         self.is_draining = False
         self.drained_s = 0.0
+        self.failing_since_s = 0.0
+        self.recovered_s = 0.0
         self._next_heartbeat_s = 0.0
         endpoint = Endpoint(self.ip, TARGET_PORT)
         self._port = DatagramPort(endpoint, self._receive).register(self)
@@ -113,19 +132,42 @@
         """Stops immediately and discards all flows."""
         self.is_running = False
         self.flows.clear()
+        self._delayed.clear()
         if self._port is not None:
             self._port.release()
             self._port.unregister()
             self._port = None
             self._listener.close()
 
+    def begin_failing(self) -> None:
+        """Resets each flow from now on when data comes."""
+        self.failing_since_s = self._clock()
+        self.recovered_s = 0.0
+
+    def end_failing(self) -> None:
+        """Answers again, unless it has been restarted since."""
+        if self.failing_since_s:
+            self.failing_since_s = 0.0
+            self.recovered_s = self._clock()
+
+    def end_delay(self) -> None:
+        """Answers at once again."""
+        self.delay_s = 0.0
+        if not self.failing_since_s:
+            self.recovered_s = self._clock()
+
     def release(self) -> None:
         """Closes the sockets."""
         self.crash()
 
     def tick(self) -> None:
-        """Sends a heartbeat when one is due."""
+        """Sends a heartbeat and the late answers that are due."""
         now_s = self._clock()
+        while self._delayed and self._delayed[0][0] <= now_s:
+            _due_s, packet = self._delayed.pop(0)
+            flow = self.flows.get(packet.flow_key)
+            if flow is not None:
+                self._respond(packet, flow)
         if self.is_running and now_s >= self._next_heartbeat_s:
             self._next_heartbeat_s = now_s + HEARTBEAT_S * self._random.uniform(
                 0.9, 1.1
@@ -193,7 +235,7 @@
     def _on_syn(self, packet: Any, flow: TargetFlow | None) -> None:
         now_s = self._clock()
         if flow is None:
-            flow = TargetFlow(self._random.getrandbits(31))
+            flow = TargetFlow(self._random.getrandbits(31), now_s)
             self.flows[packet.flow_key] = flow
             if self.drained_s and now_s - self.drained_s > DRAIN_S:
                 self._ledger.breach('drain', now_s, self.ip)
@@ -206,16 +248,44 @@
 
     def _on_data(self, packet: Any, flow: TargetFlow) -> None:
         if packet.payload_bytes:
-            payload = packet.octets[32:]
-            if packet.sequence not in flow.responses:
-                flow.responses[packet.sequence] = response_to(payload)
-            body = flow.responses[packet.sequence]
-            acknowledged = packet.sequence + packet.payload_bytes
-            self._answer(packet, ACK, packet.acknowledged, acknowledged, body)
+            if self.failing_since_s:
+                self._reset(packet, flow)
+                return
+            if self.delay_s:
+                self._delayed.append((self._clock() + self.delay_s, packet))
+                self._delayed.sort(key=lambda each: each[0])
+            else:
+                self._respond(packet, flow)
         if packet.is_fin:
             self._answer(packet, ACK | FIN, packet.acknowledged, 0)
             self.flows.pop(packet.flow_key, None)
 
+    def _respond(self, packet: Any, flow: TargetFlow) -> None:
+        payload = packet.octets[HEADER_BYTES:]
+        if packet.sequence not in flow.responses:
+            flow.responses[packet.sequence] = response_to(payload)
+        body = flow.responses[packet.sequence]
+        acknowledged = packet.sequence + packet.payload_bytes
+        self._answer(packet, ACK, packet.acknowledged, acknowledged, body)
+        if self.recovered_s and flow.opened_s > self.recovered_s:
+            self.recovered_s = 0.0
+            self._ledger.count('recovered targets that served again')
+
+    def _reset(self, packet: Any, flow: TargetFlow) -> None:
+        """Resets a flow; later than `served_from_s`, trials only get here."""
+        now_s = self._clock()
+        key = packet.flow_key
+        self.flows.pop(key)
+        self._send(build_reset(key, packet.acknowledged))
+        self._ledger.count('flows reset by failing targets')
+        if not self.served_from_s or flow.opened_s <= self.served_from_s:
+            return
+        self._ledger.count('trials reset by failing targets')
+        if now_s - self._reset_s < TRIAL_GAP_S:
+            detail = f'{self.ip} fails, but gets more than trials'
+            self._ledger.breach('served', now_s, detail)
+        self._reset_s = now_s
+
     def _answer(
         self,
         packet: Any,
--- a/lab/soak/topology.py
+++ b/lab/soak/topology.py
@@ -35,6 +35,8 @@
     agents: int
     clients: int
     folder: Path
+    # Whether nodes get the contract `health`.
+    judges_targets: bool = False
 
     def balancer_ip(self, number: int) -> str:
         """Returns the address of balancer `number`."""
