--- a/cumindrift/steering/balancer/agent_monitor.py
+++ b/cumindrift/steering/balancer/agent_monitor.py
@@ -8,6 +8,7 @@
 from cumindrift.steering.balancer.load import (
     AVOIDED_S,
     PENALTY_FADES_S,
+    RESPONSE_HALF_LIFE_S,
     AgentLoad,
 )
 from cumindrift.steering.balancer.state import BalancerState
@@ -43,6 +44,7 @@
             found = AgentLoad()
             if self.state.judges_targets:
                 found.penalty_fades_s = PENALTY_FADES_S
+                found.response_half_life_s = RESPONSE_HALF_LIFE_S
             self.loads[ip] = found
         return found
 
--- a/cumindrift/steering/balancer/load.py
+++ b/cumindrift/steering/balancer/load.py
@@ -19,6 +19,9 @@
 # Where targets are judged by what they do, the penalty of a failing one fades
 # within this time after its report, so that it is tried again.
 PENALTY_FADES_S = 4.0
+# Likewise, what is known of a response time counts for half after this time:
+# a target that was slow may be so no longer, and tells only if it is used.
+RESPONSE_HALF_LIFE_S = 3.0
 # A report with at least this penalty says that the target is ejected.
 EJECTED_PERCENT_MIN = 1000
 
@@ -35,8 +38,10 @@
     unable_count: int = 0
     # When the agent first left a SYN unanswered; 0 while it answers.
     silent_since_s: float = 0.0
-    # How long the penalty of a report lasts.
+    # How long the penalty of a report lasts, and the half-life of its response
+    # time.
     penalty_fades_s: float = inf
+    response_half_life_s: float = inf
 
     def update(self, report: Load, now_s: float) -> None:
         """Applies a report, which includes all flows sent before it."""
@@ -60,7 +65,9 @@
         report = self.last_report
         response_ms = report.response_ms or UNKNOWN_RESPONSE_MS
         slots = max(report.slots, 1)
-        age_ms = (now_s - self.reported_s) * MS_PER_S
+        age_s = now_s - self.reported_s
+        response_ms *= 0.5 ** (age_s / self.response_half_life_s)
+        age_ms = age_s * MS_PER_S
         queued = max(report.busy_count - slots, 0)
         queued = max(queued - age_ms / response_ms * slots, 0)
         flows = report.flow_count + self.sent_count
--- a/features/node_cost.feature
+++ b/features/node_cost.feature
@@ -45,3 +45,11 @@
     When the agent here reports that it can serve
     And 2.5 s go by at its balancer
     Then a flow with a target latency of 400 ms goes here
+
+  # Guards against a target that was slow once and is never used again, since
+  # only a new flow would show that it has recovered (soak, seed 695971284).
+  Scenario: A slow target is tried again after a while
+    Given agents of 2 slots that take 50 ms, one here and one elsewhere
+    When the agent here reports a response time of 2000 ms
+    Then a flow with a target latency of 400 ms goes elsewhere for 5 s
+    And it is tried again within 15 s while the other reports
--- a/features/steps/node_cost_steps.py
+++ b/features/steps/node_cost_steps.py
@@ -90,3 +90,18 @@
     while context.agents.bench.now_s < end_s:
         assert context.agents.place(latency_ms) != HERE
         context.agents.bench.now_s += 0.1
+
+
+@when('the agent here reports a response time of {response_ms:d} ms')
+def step_slow(context, response_ms):
+    context.agents.report(0, response_ms=response_ms)
+
+
+@then('it is tried again within {seconds:g} s while the other reports')
+def step_tried_again(context, seconds):
+    agents = context.agents
+    end_s = agents.bench.now_s + seconds
+    while agents.place(400) != HERE:
+        agents.report(1)
+        agents.bench.now_s += 0.1
+        assert agents.bench.now_s < end_s
