--- a/cumindrift/steering/balancer/agent_monitor.py
+++ b/cumindrift/steering/balancer/agent_monitor.py
@@ -22,8 +22,6 @@
 # An agent that has not answered for this long is assumed to be gone with its
 # host, and its entry is removed. It registers again if it comes back.
 REMOVED_AFTER_S = 20.0
-# An agent that reported within this time is alive.
-HEARD_WITHIN_S = 2.0
 
 
 @define(slots=True, eq=False, repr=False)
@@ -120,7 +118,7 @@
         if now_s < self._next_ping_s:
             return
         self._next_ping_s = now_s + PING_PERIOD_S
-        self._notify_unlisted(now_s)
+        self._notify_unlisted()
         is_cut_off = self.is_cut_off(now_s)
         state = self.state
         ping = ForwardedPacket(FrameKind.PING, state.ip, b'')
@@ -139,20 +137,20 @@
                 )
                 state.output.remove_agent(entry.name)
 
-    def _notify_unlisted(self, now_s: float) -> None:
-        """Tells agents that answer, but have no entry, to register again.
+    def _notify_unlisted(self) -> None:
+        """Tells agents that have lost their entry to register again.
 
-        Another balancer, to which they were silent, has removed the entry. An
-        agent with open flows must be back soon: a balancer that searches for
-        a holder takes a list of agents for complete.
+        Another balancer, to which an agent was silent, may have removed its
+        entry. If the agent lives it must be back soon: a balancer that
+        searches for a holder takes a list of agents for complete. An agent
+        that has left registers no more.
         """
         directory = self.state.directory
         if directory.agents is not self._checked:
             self._checked = directory.agents
             self._unlisted_ips = self.loads.keys() - directory.agent_ips()
         for ip in self._unlisted_ips:
-            load = self.loads.get(ip)
-            if load is None or now_s - load.reported_s > HEARD_WITHIN_S:
+            if ip not in self.loads:
                 continue
             self.state.events.note('agent-unlisted', agent=ip)
             frame = ForwardedPacket(FrameKind.ENTRY_MISSING, self.state.ip, b'')
