--- a/cumindrift/steering/balancer/fair_share.py
+++ b/cumindrift/steering/balancer/fair_share.py
@@ -1,10 +1,14 @@
 """Tells which clients send far more SYNs than the others, in bounded memory."""
 
 from math import log
+from random import Random
 from struct import Struct
 
 from attrs import define, field
 
+from cumindrift.fleet.manifest import RequestLimits
+from cumindrift.metric import SHARE_EXCEEDED
+
 # Enough to tell some 250 active clients apart; a SYN costs the same whatever
 # the number of clients.
 BUCKET_COUNT = 256
@@ -110,3 +114,24 @@
         self._active_count = sum(
             count >= ACTIVE_COUNT_MIN for count in self._first
         )
+
+
+@define(slots=True, eq=False, repr=False)
+class ClientShares:
+    """The SYNs by client of each service of a balancer."""
+
+    random: Random
+    by_service: dict[str, FairShare] = field(factory=dict)
+
+    def on_arrived(
+        self, service: str, limits: RequestLimits, client: bytes, now_s: float
+    ) -> bool:
+        """Counts a client's SYN; returns whether it exceeds its share."""
+        share = self.by_service.get(service)
+        if share is None:
+            share = FairShare(self.random.randbytes(SALT_BYTES))
+            self.by_service[service] = share
+        is_exceeded = share.on_arrived(client, now_s)
+        if is_exceeded:
+            SHARE_EXCEEDED.labels(service, str(limits.priority)).inc()
+        return is_exceeded
--- a/cumindrift/steering/balancer/placer.py
+++ b/cumindrift/steering/balancer/placer.py
@@ -9,9 +9,9 @@
 from cumindrift.code import ResultCode
 from cumindrift.fleet.directory import AgentEntry
 from cumindrift.fleet.manifest import RequestLimits, pick_service
-from cumindrift.metric import EARLY_REFUSALS, SHARE_EXCEEDED
+from cumindrift.metric import EARLY_REFUSALS
 from cumindrift.steering.balancer.agent_monitor import AgentMonitor
-from cumindrift.steering.balancer.fair_share import SALT_BYTES, FairShare
+from cumindrift.steering.balancer.fair_share import ClientShares
 from cumindrift.steering.balancer.hint import Hint
 from cumindrift.steering.balancer.load import CANDIDATES_MAX
 from cumindrift.steering.balancer.open_queue import OpenQueue, queue_orders
@@ -62,7 +62,11 @@
     # The SYNs that wait for room, by service.
     queues: dict[str, OpenQueue] = field(factory=dict)
     # The SYNs by client, by service; empty unless targets are judged.
-    shares: dict[str, FairShare] = field(factory=dict)
+    shares: ClientShares = field(
+        default=Factory(
+            lambda placer: ClientShares(placer.random), takes_self=True
+        )
+    )
     _next_retry_s: float = 0.0
 
     def on_open(self, packet: FlowPacket, now_s: float) -> None:
@@ -170,7 +174,10 @@
         hint.deadline_s = now_s + wait_budget_s(hint.limits)
         queue = self._queue_for(hint.service)
         if self.state.judges_targets:
-            self._count_share(packet, hint, now_s)
+            client = packet.flow_key[CLIENT_ADDRESS]
+            hint.is_share_exceeded = self.shares.on_arrived(
+                hint.service, hint.limits, client, now_s
+            )
         queue.outlook.on_arrived(hint.limits, now_s)
         if not self.must_wait(queue, hint.limits):
             self._place(packet, hint, now_s)
@@ -189,21 +196,6 @@
             self.queues[service] = queue
         return queue
 
-    def _count_share(
-        self, packet: FlowPacket, hint: Hint, now_s: float
-    ) -> None:
-        """Counts a first SYN; marks it if its client exceeds its share."""
-        service = hint.service
-        share = self.shares.get(service)
-        if share is None:
-            share = FairShare(self.random.randbytes(SALT_BYTES))
-            self.shares[service] = share
-        client = packet.flow_key[CLIENT_ADDRESS]
-        hint.is_share_exceeded = share.on_arrived(client, now_s)
-        if hint.is_share_exceeded:
-            priority = str(hint.limits.priority)
-            SHARE_EXCEEDED.labels(service, priority).inc()
-
     def _place(self, packet: FlowPacket, hint: Hint, now_s: float) -> None:
         """Sends a SYN to the best agent that has not got it yet."""
         key = packet.flow_key
--- a/features/steps/node_fair_share_steps.py
+++ b/features/steps/node_fair_share_steps.py
@@ -42,7 +42,7 @@
 
 @when('a client in the same bucket of row {row:d} as client 99 sends a SYN')
 def step_send_near(context, row):
-    salt = context.bench.core.placer.shares[SERVICE].salt
+    salt = context.bench.core.placer.shares.by_service[SERVICE].salt
     other = number_in_bucket(99, row, salt)
     step_send(context, other, other, 1)
 
@@ -61,4 +61,4 @@
 
 @then('no SYN was counted')
 def step_uncounted(context):
-    assert not context.bench.core.placer.shares
+    assert not context.bench.core.placer.shares.by_service
