--- a/cumindrift/steering/balancer/load.py
+++ b/cumindrift/steering/balancer/load.py
@@ -22,6 +22,7 @@
 # Likewise, what is known of a response time counts for half after this time:
 # a target that was slow may be so no longer, and tells only if it is used.
 RESPONSE_HALF_LIFE_S = 3.0
+RESPONSE_MS_MIN = 1.0
 # A report with at least this penalty says that the target is ejected.
 EJECTED_PERCENT_MIN = 1000
 
@@ -67,6 +68,7 @@
         slots = max(report.slots, 1)
         age_s = now_s - self.reported_s
         response_ms *= 0.5 ** (age_s / self.response_half_life_s)
+        response_ms = max(response_ms, RESPONSE_MS_MIN)
         age_ms = age_s * MS_PER_S
         queued = max(report.busy_count - slots, 0)
         queued = max(queued - age_ms / response_ms * slots, 0)
--- a/features/node_cost.feature
+++ b/features/node_cost.feature
@@ -53,3 +53,10 @@
     When the agent here reports a response time of 2000 ms
     Then a flow with a target latency of 400 ms goes elsewhere for 5 s
     And it is tried again within 15 s while the other reports
+
+  # Guards against a division by zero: the response time of an agent that has
+  # never reported is as old as the host's clock (782 nodes ended in one play).
+  Scenario: Agents that never reported are ranked on a host that runs for days
+    Given agents of 2 slots that take 50 ms, one here and one elsewhere
+    And none of them has reported, and the host has run for 10 days
+    Then a flow with a target latency of 400 ms goes here
--- a/features/steps/node_cost_steps.py
+++ b/features/steps/node_cost_steps.py
@@ -21,6 +21,15 @@
     context.agents = SpreadAgents(count, slots, work_ms)
 
 
+@given('none of them has reported, and the host has run for {days:d} days')
+def step_long_uptime(context, days):
+    bench = context.agents.bench
+    bench.core.agent_monitor.loads.clear()
+    bench.now_s = days * 86_400.0
+    for entry in context.agents.entries:
+        bench.core.agent_monitor.load_of(entry.ip)
+
+
 @given('the balancer trusts targets')
 def step_trusts(context):
     context.agents.choose('lightest')
