Implausible loads are refused; check-node checks settings as a whole

A balancer that judges targets leaves out loads that are out of range, delayed or of unknown senders, counts them by reason and logs them. check-node names key and what is allowed where settings contradict themselves; nodes start as before.

--- a/cumindrift/fleet/directory.py
+++ b/cumindrift/fleet/directory.py
@@ -43,6 +43,7 @@
     # The addresses of the agents in evacuated data centres.
     evacuated_ips: frozenset[str] = frozenset()
     ring: KeeperRing = field(factory=KeeperRing)
+    _ips: frozenset[str] = frozenset()
     _by_service: dict[str, tuple[AgentEntry, ...]] = field(factory=dict)
 
     @property
@@ -72,7 +73,8 @@
         """Replaces the entries of all agents, by node name."""
         self.agents = agents
         self.has_agents = True
-        self.ring = KeeperRing(self.agent_ips())
+        self._ips = frozenset(entry.ip for entry in agents.values())
+        self.ring = KeeperRing(self._ips)
         self._update_views()
 
     def apply_evacuations(self, data_centres: frozenset[str]) -> None:
@@ -100,7 +102,11 @@
 
     def agent_ips(self) -> frozenset[str]:
         """Returns the addresses of the agents of all services."""
-        return frozenset(entry.ip for entry in self.agents.values())
+        return self._ips
+
+    def has_agent_at(self, ip: str) -> bool:
+        """Returns whether an agent with this address has an entry."""
+        return ip in self._ips
 
     def _update_views(self) -> None:
         """Derives again what depends on agents and evacuations."""
--- a/cumindrift/metric.py
+++ b/cumindrift/metric.py
@@ -234,6 +234,11 @@
     'cumindrift_foreign_heartbeats',
     "Heartbeats refused since they were not of this agent's target.",
 )
+REPORTS_REFUSED = Counter(
+    'cumindrift_reports_refused',
+    'Reports of agents whose load a balancer left out, by reason.',
+    ('reason',),
+)
 COPY_AGE = Gauge(
     'cumindrift_copy_age_seconds',
     'Time since the store or a peer confirmed the copy of a kind of objects.',
--- a/cumindrift/steering/balancer/agent_monitor.py
+++ b/cumindrift/steering/balancer/agent_monitor.py
@@ -5,14 +5,24 @@
 from attrs import define, field
 
 from cumindrift.fleet.directory import AgentEntry
+from cumindrift.metric import REPORTS_REFUSED
 from cumindrift.steering.balancer.load import (
     AVOIDED_S,
     PENALTY_FADES_S,
     RESPONSE_HALF_LIFE_S,
     AgentLoad,
 )
+from cumindrift.steering.balancer.report_check import (
+    ReceivedReport,
+    disbelief_of,
+)
 from cumindrift.steering.balancer.state import BalancerState
-from cumindrift.steering.frame import ForwardedPacket, FrameKind, Load
+from cumindrift.steering.frame import (
+    AgentReport,
+    ForwardedPacket,
+    FrameKind,
+    Load,
+)
 
 PING_PERIOD_S = 0.3
 # A balancer is cut off if it got no report for this long and at least this many
@@ -46,8 +56,30 @@
             self.loads[ip] = found
         return found
 
+    def on_agent_report(
+        self, ip: str, report: AgentReport, now_s: float
+    ) -> None:
+        """Applies the load in an agent's report, unless it is implausible."""
+        known = self.loads.get(ip)
+        if self.state.judges_targets:
+            received = ReceivedReport(
+                ip, report, self.state.directory, known, now_s
+            )
+            disbelief = disbelief_of(received)
+            if disbelief is not None:
+                REPORTS_REFUSED.labels(disbelief.value).inc()
+                self.state.events.note(
+                    'report-refused', agent=ip, reason=disbelief.value
+                )
+                if known is not None:
+                    # The agent is alive all the same.
+                    known.silent_since_s = 0.0
+                return
+        self.on_report(ip, report.load, now_s)
+        self.load_of(ip).incarnation = report.incarnation
+
     def on_report(self, ip: str, report: Load, now_s: float) -> None:
-        """Applies an agent's report, which also proves that it is alive."""
+        """Applies an agent's load, which also proves that it is alive."""
         load = self.load_of(ip)
         if load.silent_since_s:
             self.state.events.note(
--- a/cumindrift/steering/balancer/core.py
+++ b/cumindrift/steering/balancer/core.py
@@ -69,7 +69,7 @@
 
     def on_report(self, ip: str, report: AgentReport, now_s: float) -> None:
         """Handles a report of the agent at `ip`."""
-        self.agent_monitor.on_report(ip, report.load, now_s)
+        self.agent_monitor.on_agent_report(ip, report, now_s)
         state = self.state
         if report.manifest_version > state.directory.manifest.version:
             state.output.request_manifest(report.manifest_version)
--- a/cumindrift/steering/balancer/load.py
+++ b/cumindrift/steering/balancer/load.py
@@ -33,6 +33,8 @@
 
     last_report: Load = field(factory=Load)
     reported_s: float = 0.0
+    # The incarnation of the target that the last report was about.
+    incarnation: int = 0
     sent_count: int = 0
     avoided_until_s: float = 0.0
     # How many reports in a row have said that the target cannot serve.
--- a/cumindrift/tool/local.py
+++ b/cumindrift/tool/local.py
@@ -9,6 +9,7 @@
 from tabulate import tabulate
 
 from cumindrift.code import ResultCode
+from cumindrift.fleet.settings_check import check_settings
 from cumindrift.outcome import Done, Outcome, Refused
 from cumindrift.platform.node_file import read_node_file
 from cumindrift.settings.token import TOKEN_BYTES, make_token
@@ -97,5 +98,8 @@
     if isinstance(outcome, Refused):
         return outcome
     settings = outcome.content.settings
+    contradiction = check_settings(settings)
+    if contradiction is not None:
+        return contradiction
     data = {'role': settings.role, 'name': settings.name}
     return Done(Report(data, f'{settings.role} {settings.name}: in order'))
--- a/features/node_wire.feature
+++ b/features/node_wire.feature
@@ -89,3 +89,16 @@
 
   Scenario: Random octets never make the decoder fail
     Then 2000 frames of random octets are decoded or refused
+
+  # Guards against settings that contradict themselves and are found out only
+  # when the node serves.
+  Scenario Outline: The whole of a settings file is checked, with key and what is allowed
+    Given a settings file with <key> as <content>
+    Then the check of its settings names <path>
+
+    Examples:
+      | key          | content     | path                         |
+      | ip           | 10.1.0.14   | /listen_addrs/datagram_addr  |
+      | heartbeat_ms | 2500        | /heartbeat_ms                |
+      | heartbeat_ms | 0           | /heartbeat_ms                |
+      | heartbeat_ms | 1200        | nothing                      |
--- a/features/steps/node_wire_steps.py
+++ b/features/steps/node_wire_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 
 from cumindrift.fleet.copy_version import CopyStamp
+from cumindrift.fleet.settings_check import check_settings
 from cumindrift.outcome import Done, Refused
 from cumindrift.platform.heartbeat import read_heartbeat
 from cumindrift.platform.node_file import read_node_file
@@ -149,3 +150,15 @@
     random = Random(7)
     for _ in range(count):
         decode_frame(random.randbytes(random.randrange(80)))
+
+
+@given('a settings file with {key} as {content}')
+def step_file_with(context, key, content):
+    found = int(content) if content.isdigit() else content
+    context.outcome = read_node_file(node_file(**{key: found}))
+
+
+@then('the check of its settings names {path}')
+def step_checked(context, path):
+    found = check_settings(context.outcome.content.settings)
+    assert (found.path if found else 'nothing') == path, found
