--- a/cumindrift/steering/agent/outlier.py
+++ b/cumindrift/steering/agent/outlier.py
@@ -12,8 +12,8 @@
 # How long the first ejection lasts, twice as long each further one.
 EJECTED_S = 0.5
 EJECTED_MAX_S = 8.0
-# After this long without a failure, an ejection counts as the first again.
-FORGIVEN_AFTER_S = 30.0
+# After this long without a failure, the next ejection is a first one again.
+EJECTION_COUNT_RESET_S = 30.0
 # Trials in a row that must succeed before the target serves again.
 TRIALS_NEEDED = 3
 # A trial without an outcome no longer blocks the next one after this time.
@@ -79,7 +79,7 @@
         """Records a request that failed; True if this ejects the target."""
         if self.is_ejected and now_s < self._ejected_until_s:
             return False
-        if now_s - self._failed_s > FORGIVEN_AFTER_S:
+        if now_s - self._failed_s > EJECTION_COUNT_RESET_S:
             self.ejection_count = 0
         self._failed_s = now_s
         self._outcomes.append(False)
--- a/cumindrift/steering/agent/room.py
+++ b/cumindrift/steering/agent/room.py
@@ -10,8 +10,9 @@
 # While a target has this many requests per slot, new flows go to another
 # target or wait at the balancer, since further requests would be late.
 WORK_PER_SLOT = 2
-# How fast the limit of the lower priorities recovers from each refusal.
-PRESSURE_FADES_PER_S = 2.0
+# How many refusals cease to count per second, so that the limit of the lower
+# priorities recovers.
+PRESSURE_DECAY_PER_S = 2.0
 # A priority of which no flow was admitted for this long gets one place, so
 # that more urgent ones never exclude it for good.
 STARVED_AFTER_S = 1.0
@@ -75,8 +76,8 @@
 
     def at(self, now_s: float) -> float:
         """Returns the refusals that still count."""
-        faded = (now_s - self.refused_s) * PRESSURE_FADES_PER_S
-        return max(self.refused_count - faded, 0.0)
+        expired_count = (now_s - self.refused_s) * PRESSURE_DECAY_PER_S
+        return max(self.refused_count - expired_count, 0.0)
 
     def add(self, now_s: float, most: float) -> None:
         """Counts a refusal, up to `most`."""
--- a/cumindrift/steering/balancer/agent_monitor.py
+++ b/cumindrift/steering/balancer/agent_monitor.py
@@ -8,13 +8,13 @@
 from cumindrift.metric import REPORTS_REFUSED
 from cumindrift.steering.balancer.load import (
     AVOIDED_S,
-    PENALTY_FADES_S,
+    PENALTY_DURATION_S,
     RESPONSE_HALF_LIFE_S,
     AgentLoad,
 )
 from cumindrift.steering.balancer.report_check import (
     ReceivedReport,
-    disbelief_of,
+    refusal_of,
 )
 from cumindrift.steering.balancer.state import BalancerState
 from cumindrift.steering.frame import (
@@ -51,7 +51,7 @@
         if found is None:
             found = AgentLoad()
             if self.state.judges_targets:
-                found.penalty_fades_s = PENALTY_FADES_S
+                found.penalty_duration_s = PENALTY_DURATION_S
                 found.response_half_life_s = RESPONSE_HALF_LIFE_S
             self.loads[ip] = found
         return found
@@ -65,11 +65,11 @@
             received = ReceivedReport(
                 ip, report, self.state.directory, known, now_s
             )
-            disbelief = disbelief_of(received)
-            if disbelief is not None:
-                REPORTS_REFUSED.labels(disbelief.value).inc()
+            refusal = refusal_of(received)
+            if refusal is not None:
+                REPORTS_REFUSED.labels(refusal.value).inc()
                 self.state.events.note(
-                    'report-refused', agent=ip, reason=disbelief.value
+                    'report-refused', agent=ip, reason=refusal.value
                 )
                 if known is not None:
                     # The agent is alive all the same.
--- a/cumindrift/steering/balancer/load.py
+++ b/cumindrift/steering/balancer/load.py
@@ -16,9 +16,9 @@
 UNABLE_AVOIDED_MAX_S = 5.0
 UNKNOWN_RESPONSE_MS = 50
 MS_PER_S = 1000
-# Where targets are judged by what they do, the penalty of a failing one fades
-# within this time after its report, so that it is tried again.
-PENALTY_FADES_S = 4.0
+# Where targets are judged by what they do, the penalty of a failing one falls
+# to 0 within this time after its report, so that it is tried again.
+PENALTY_DURATION_S = 4.0
 # Likewise, what is known of a response time counts for half after this time:
 # a target that was slow may be so no longer, and tells only if it is used.
 RESPONSE_HALF_LIFE_S = 3.0
@@ -43,7 +43,7 @@
     silent_since_s: float = 0.0
     # How long the penalty of a report lasts, and the half-life of its response
     # time.
-    penalty_fades_s: float = inf
+    penalty_duration_s: float = inf
     response_half_life_s: float = inf
 
     def update(self, report: Load, now_s: float) -> None:
@@ -81,11 +81,11 @@
     def penalty_percent(self, now_s: float) -> float:
         """Returns what is left of the last report's penalty."""
         age_s = now_s - self.reported_s
-        left = max(1 - age_s / self.penalty_fades_s, 0.0)
+        left = max(1 - age_s / self.penalty_duration_s, 0.0)
         return self.last_report.failure_percent * left
 
     def is_ejected(self, now_s: float) -> bool:
         """Returns whether a recent report says that the target is ejected."""
-        is_recent = now_s - self.reported_s < self.penalty_fades_s
+        is_recent = now_s - self.reported_s < self.penalty_duration_s
         is_failing = self.last_report.failure_percent >= EJECTED_PERCENT_MIN
         return is_recent and is_failing
--- a/cumindrift/steering/balancer/report_check.py
+++ b/cumindrift/steering/balancer/report_check.py
@@ -20,7 +20,7 @@
 
 
 @unique
-class Disbelief(Enum):
+class ReportRefusal(Enum):
     """Why the load in a report is left out."""
 
     UNKNOWN_SENDER = 'no entry'
@@ -45,11 +45,11 @@
 report_checks: Registry[ReportCheck] = Registry('report check')
 
 
-def disbelief_of(received: ReceivedReport) -> Disbelief | None:
+def refusal_of(received: ReceivedReport) -> ReportRefusal | None:
     """Returns why the load in a report is left out; None if it is believed."""
     for name, passes in report_checks:
         if not passes(received):
-            return Disbelief[name]
+            return ReportRefusal[name]
     return None
 
 
