--- a/cumindrift/fleet/settings_check.py
+++ b/cumindrift/fleet/settings_check.py
@@ -62,7 +62,7 @@
 
 @node_checks.register('bounds')
 def check_bounds(settings: NodeSettings) -> Iterator[Refused]:
-    """Checks that times are positive and cold targets get something."""
+    """Checks that times are positive and cold-start limits not negative."""
     bounds = settings.bounds
     for key, seconds in (
         ('/bounds/grace_s', bounds.stop_within_s),
--- a/cumindrift/steering/agent/work.py
+++ b/cumindrift/steering/agent/work.py
@@ -9,7 +9,7 @@
 _DEVIATION_WEIGHT = 0.25
 # A response is overdue after the mean and this many deviations.
 OVERDUE_DEVIATIONS = 4
-# A flow's first request comes within this time, or much later.
+# A new flow that has sent no request counts as expected work for this long.
 EXPECTED_MAX_S = 0.5
 # Work is learned for at most this many different limits of routes.
 LEARNED_LIMITS_MAX = 32
--- a/cumindrift/steering/balancer/explanation.py
+++ b/cumindrift/steering/balancer/explanation.py
@@ -53,8 +53,9 @@
     NEW = 'new'
     # An agent holds the flow, and a copy of its SYN follows there.
     OPEN = 'open'
-    # The SYN waits in the queue, or an agent has yet to answer it.
+    # The SYN waits in the queue.
     WAITING = 'waiting'
+    # An agent has yet to answer the SYN.
     SENT = 'sent'
 
 
@@ -115,8 +116,8 @@
         tried_count: SYNs of the queue that agents have yet to answer.
         tried_max: How many SYNs of the queue may be tried at once.
         must_wait: Whether others are served before a new SYN.
-        is_overloaded: Whether SYNs up to the route's priority arrive faster
-            than flows open.
+        is_overloaded: Whether SYNs at least as urgent as the route's arrive
+            more than twice as fast as flows open.
         refuses_early: Whether SYNs of an overloaded service are refused
             before their wait budget ends.
         hold_s: How long a SYN that finds no room is held before its refusal.
--- a/cumindrift/steering/balancer/outlook.py
+++ b/cumindrift/steering/balancer/outlook.py
@@ -9,8 +9,8 @@
 from cumindrift.steering.decay import DecayingCount
 
 RATE_HALF_LIFE_S = 0.5
-# A service is overloaded if this many times more SYNs come than find room. In
-# a smaller or shorter surge, the SYNs that wait find room after it.
+# A service is overloaded if SYNs arrive more than this many times as fast as
+# flows open. In a smaller or shorter surge, waiting SYNs find room after it.
 OVERLOAD_RATIO = 2.0
 # If no SYN has found room for this long, the service is down rather than
 # overloaded. Targets that restart are back soon, so its SYNs are held.
@@ -71,7 +71,10 @@
                 self._overloaded_since_s.pop(priority, None)
 
     def is_overloaded(self, priority: int, now_s: float) -> bool:
-        """Returns whether SYNs up to this priority come faster than they go."""
+        """Returns whether SYNs arrive too fast for flows to open.
+
+        Only SYNs that are at least as urgent as `priority` count.
+        """
         opened_count = self._opened.at(now_s)
         if self._is_down(opened_count, now_s):
             return False
--- a/cumindrift/steering/balancer/placer.py
+++ b/cumindrift/steering/balancer/placer.py
@@ -61,7 +61,7 @@
     waiting: dict[bytes, Hint] = field(factory=dict)
     # The SYNs that wait for room, by service.
     queues: dict[str, OpenQueue] = field(factory=dict)
-    # The SYNs by client, by service; empty unless targets are judged.
+    # Counts of SYNs by service and client; empty unless targets are judged.
     shares: ClientShares = field(
         default=Factory(
             lambda placer: ClientShares(placer.random), takes_self=True
--- a/cumindrift/steering/frame.py
+++ b/cumindrift/steering/frame.py
@@ -36,8 +36,8 @@
 class FrameKind(IntEnum):
     """The type of a frame; the numbers are part of the wire format."""
 
-    # Kinds sent to agents; all but PING and ENTRY_MISSING
-    # contain a client's packet.
+    # Kinds sent to agents; all but PING and ENTRY_MISSING contain a client's
+    # packet.
     # A SYN; an agent whose target does not take it forwards it to the next
     # candidate.
     OPEN = 1
@@ -117,8 +117,8 @@
 class Load:
     """The load of a target, which its agent includes in each report.
 
-    `failure_percent` is added to the cost of a target that failed lately. A
-    target that is not there, or leaves, has no `slots`.
+    `failure_percent` is added to the cost of a target that failed lately.
+    Where targets are judged, `slots` is 0 if the target does not run or leaves.
     """
 
     flow_count: int = 0
