--- a/cumindrift/steering/balancer/outlook.py
+++ b/cumindrift/steering/balancer/outlook.py
@@ -21,7 +21,7 @@
 # A SYN that waits for an overloaded service is held for this share of its
 # route's target latency. Timers included, its client knows within a quarter.
 HELD_SHARE = 0.2
-# An overload that stops for no longer than this goes on.
+# Two overloads with a pause of at most this long between them count as one.
 PAUSE_MAX_S = 0.3
 # The overload is logged as over after this long without an early refusal.
 RELIEVED_AFTER_S = 1.0
@@ -45,7 +45,7 @@
     _arrived: dict[int, DecayingCount] = field(factory=dict)
     _opened: DecayingCount = field(factory=_rate_factory)
     _opened_s: float = 0.0
-    # Since when, and when last, SYNs up to a priority came too fast.
+    # By priority, when its current overload began and when it was last seen.
     _overloaded_since_s: dict[int, float] = field(factory=dict)
     _overloaded_s: dict[int, float] = field(factory=dict)
     _refused_s: float = -inf
@@ -62,7 +62,7 @@
         self._opened_s = now_s
 
     def update(self, now_s: float) -> None:
-        """Notes since when the service is overloaded; called each tick."""
+        """Records since when each priority is overloaded, at each tick."""
         for priority in self._arrived:
             if self.is_overloaded(priority, now_s):
                 self._overloaded_since_s.setdefault(priority, now_s)
