cumindrift refusals: who was refused under load, from the logs of all nodes

Cause: agents, queues and early refusal each log their own decisions, and no page showed them side by side over time.

--- a/cumindrift/tool/command.py
+++ b/cumindrift/tool/command.py
@@ -16,6 +16,7 @@
 from cumindrift.tool import local as _local
 from cumindrift.tool import metric as _metric
 from cumindrift.tool import reading as _reading
+from cumindrift.tool import refusals as _refusals
 from cumindrift.tool import story as _story
 from cumindrift.tool import writing as _writing
 from cumindrift.tool.client import ApiClient, make_transport
@@ -28,6 +29,7 @@
     _local,
     _metric,
     _reading,
+    _refusals,
     _story,
     _writing,
 )
