deploy/build replaces the bundle in one step

Cause: it was written in place, so a node that started meanwhile could read half of it and end (seen by the review). Change: written beside, then renamed. The new scenario fails without it.

--- a/deploy/bundle.py
+++ b/deploy/bundle.py
@@ -36,13 +36,21 @@
     return b''.join((size, head, *code))
 
 
+def write_bundle(octets: bytes) -> None:
+    """Replaces the bundle; a node that starts meanwhile reads either one."""
+    bundle = Path(BUNDLE_PATH)
+    written = bundle.with_suffix('.new')
+    written.write_bytes(octets)
+    written.replace(bundle)
+
+
 def main() -> None:
     """Imports the modules of both roles and writes the bundle."""
     sys.path.insert(0, str(Path.cwd()))
     import_module('cumindrift.node')
     for role in ROLES:
         import_module(f'cumindrift.steering.{role}.supervisor')
-    Path(BUNDLE_PATH).write_bytes(pack_modules())
+    write_bundle(pack_modules())
 
 
 if __name__ == '__main__':
--- a/features/node_process.feature
+++ b/features/node_process.feature
@@ -27,3 +27,9 @@
   Scenario: A SIGHUP during the start of a node does not end it
     When a process that is importing a node receives SIGHUP
     Then it continues
+
+  # Guards against nodes that end since they read half of a new bundle.
+  Scenario: A bundle that is built again does not change under its readers
+    Given a bundle that a starting node has opened
+    When the bundle is built again
+    Then the node reads the bundle that it has opened
--- a/features/steps/node_process_steps.py
+++ b/features/steps/node_process_steps.py
@@ -43,6 +43,7 @@
 
 
 PROJECT = Path(__file__).parents[2]
+BUNDLE_PATH = 'target/node.bundle'
 
 
 def start_node(context, text, command=('-m', 'cumindrift.node'), folder=None):
@@ -68,7 +69,7 @@
 
 def make_bundle(folder):
     """Writes the bundle of a node in `folder`, as deploy/build does."""
-    (folder / 'target').mkdir()
+    (folder / 'target').mkdir(exist_ok=True)
     subprocess.run(  # noqa: S603 - our own file
         [sys.executable, PROJECT / 'deploy/bundle.py'],
         cwd=folder,
@@ -211,3 +212,24 @@
 @then('it continues')
 def step_continues(context):
     assert context.ended.returncode == 0, context.ended
+
+
+@given('a bundle that a starting node has opened')
+def step_bundle_opened(context):
+    context.folder = Path(mkdtemp())
+    make_bundle(context.folder)
+    context.bundle = (context.folder / BUNDLE_PATH).open('rb')
+    context.earlier = (context.folder / BUNDLE_PATH).read_bytes()
+
+
+@when('the bundle is built again')
+def step_bundle_again(context):
+    make_bundle(context.folder)
+
+
+@then('the node reads the bundle that it has opened')
+def step_bundle_same(context):
+    opened = os.fstat(context.bundle.fileno())
+    assert opened.st_ino != (context.folder / BUNDLE_PATH).stat().st_ino
+    assert context.bundle.read() == context.earlier
+    context.bundle.close()
