Agents tell the balancers that they refused when their target serves

Cause: balancers avoid an agent whose target cannot serve, for 0.6 s and longer. After a power loss all agents are without a target for a moment, so balancers went on avoiding idle ones. Change: an agent remembers up to 64 balancers that it refused so, and reports to them with the first heartbeat that lets it serve. Only where targets are judged.

--- a/cumindrift/steering/agent/core.py
+++ b/cumindrift/steering/agent/core.py
@@ -125,6 +125,7 @@
             self._refuse_heartbeat(heartbeat)
             return effect
         self.crash_recovery.reset_lost_flows()
+        self.state.notify_unserved(now_s)
         if effect is not HeartbeatEffect.SAME:
             self.state.events.note(
                 'target-beat',
--- a/cumindrift/steering/agent/opener.py
+++ b/cumindrift/steering/agent/opener.py
@@ -169,6 +169,7 @@
         by now, or that the client has given up.
         """
         state = self.state
+        state.on_unable(forwarded.origin_ip, state.events.clock())
         key = packet.flow_key
         candidates = forwarded.candidate_ips
         has_next = bool(candidates) and forwarded.hop_count < HOPS_MAX
--- a/cumindrift/steering/agent/state.py
+++ b/cumindrift/steering/agent/state.py
@@ -21,6 +21,9 @@
 )
 from cumindrift.steering.state import CoreState
 
+# More balancers than this find out by themselves that a target serves.
+UNSERVED_MAX = 64
+
 
 @define(slots=True, eq=False, repr=False)
 class AgentState(CoreState):
@@ -38,6 +41,8 @@
     judges_target: bool = False
     outlier: OutlierDetector = field(factory=OutlierDetector)
     room_policy: RoomPolicy = field(init=False)
+    # The balancers whose flows found a target that could not serve.
+    unserved_ips: set[str] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
         """Chooses the policy by which new flows find room."""
@@ -77,6 +82,23 @@
         )
         self.output.send_report(ip, report)
 
+    def on_unable(self, origin_ip: str, now_s: float) -> None:
+        """Remembers a balancer whose flow met a target that cannot serve."""
+        is_unable = self.judges_target and not self.target.can_serve(now_s)
+        if is_unable and len(self.unserved_ips) < UNSERVED_MAX:
+            self.unserved_ips.add(origin_ip)
+
+    def notify_unserved(self, now_s: float) -> None:
+        """Tells these balancers when the target serves.
+
+        They avoid the agent until then, and after a power loss all agents
+        are without a target for a moment.
+        """
+        if self.unserved_ips and self.target.can_serve(now_s):
+            for ip in sorted(self.unserved_ips):
+                self.send_report(ip, FrameKind.PONG)
+            self.unserved_ips.clear()
+
     def on_request_answered(self, now_s: float) -> None:
         """Records that the target answered a request."""
         if self.judges_target and self.outlier.on_success(now_s):
--- a/cumindrift/steering/balancer/load.py
+++ b/cumindrift/steering/balancer/load.py
@@ -53,6 +53,8 @@
         self.sent_count = 0
         self.silent_since_s = 0.0
         if report.slots:
+            if self.unable_count:
+                self.avoided_until_s = now_s
             self.unable_count = 0
         elif now_s >= self.avoided_until_s:
             self.unable_count += 1
--- a/features/node_outlier.feature
+++ b/features/node_outlier.feature
@@ -116,3 +116,12 @@
     And 4.1 s go by at that balancer
     Then the next SYN is not forced
     And the cost of agent 1 has no penalty
+
+  # Guards against idle targets after a power loss: balancers that have met an
+  # agent before its target was back avoid it.
+  Scenario: An agent tells the balancers that it refused when its target serves
+    Given an agent that judges its target, which has not come yet
+    When a flow is opened
+    Then the balancer is told that the target cannot serve
+    When the target sends its first heartbeat
+    Then the balancer is told that the target serves
--- a/features/steps/node_hard_load_steps.py
+++ b/features/steps/node_hard_load_steps.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 
 from cumindrift.steering.frame import FrameKind, Load
-from features.builders.core import logged_lines
+from features.builders.core import AgentBench, logged_lines
 from features.builders.hard_load import LoadedAgent, LoadedBalancer
 from features.builders.node import agent_ip
 
@@ -316,3 +316,26 @@
 @then('{event} has been logged')
 def step_event(context, event):
     assert context.balancer.logged(event)
+
+
+@given('an agent that judges its target, which has not come yet')
+def step_no_target(context):
+    context.agent = LoadedAgent()
+    context.agent.bench = AgentBench(judges_target=True)
+
+
+@when('a flow is opened')
+def step_open_one(context):
+    assert not context.agent.open()
+
+
+@when('the target sends its first heartbeat')
+def step_first_heartbeat(context):
+    context.agent.bench.output.clear()
+    context.agent.beat()
+
+
+@then('the balancer is told that the target {what}')
+def step_told(context, what):
+    _, report = context.agent.bench.output.reports[-1]
+    assert bool(report.load.slots) is (what == 'serves')
