Flows whose request is still to come take up room for 0.1 s, not 0.5 s

Cause, by reading: after a power loss SYNs may have waited longer than their clients. A target opens such a flow, no request comes, and it held a place for 0.5 s, half of the room of a target with one slot.

--- a/cumindrift/steering/agent/work.py
+++ b/cumindrift/steering/agent/work.py
@@ -9,8 +9,9 @@
 _DEVIATION_WEIGHT = 0.25
 # A response is overdue after the mean and this many deviations.
 OVERDUE_DEVIATIONS = 4
-# A new flow that has sent no request counts as expected work for this long.
-EXPECTED_MAX_S = 0.5
+# A flow's first request comes within a round trip, or its client has left: a
+# SYN may have waited longer than its client did.
+EXPECTED_MAX_S = 0.1
 # Work is learned for at most this many different limits of routes.
 LEARNED_LIMITS_MAX = 32
 _MS_PER_S = 1000
