--- a/review/deployment/target.py
+++ b/review/deployment/target.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http.client import HTTPConnection, HTTPException
+from queue import Empty, Queue
 from random import Random
 from socket import (
     AF_INET,
@@ -80,11 +81,16 @@
     # Whether the process hangs: it reads nothing and sends nothing.
     is_hung: bool = False
     born: int = 0
+    # How long packets wait before the endpoint handles them, in order, and
+    # for how long that is so after each start.
+    latency_s: float = 0.0
+    slow_s: float = 0.0
     # When the agent last acknowledged a heartbeat.
     acked_s: float = 0.0
     # Flows that this endpoint has reset itself.
     reset_keys: set[FlowKey] = field(default_factory=set)
     _sequence: int = 0
+    _slow_until_s: float = 0.0
     _lock: Any = field(default_factory=Lock)
     _packets: socket | None = None
     _listener: socket | None = None
@@ -108,11 +114,14 @@
         self._listener.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
         self._listener.bind(self.settings.app)
         self._listener.listen(64)
+        self._slow_until_s = monotonic() + self.slow_s
         self.is_running = True
         self.record.note(f'{self.target_id} starts, born {self.born}')
-        arguments = (self.lifetime,)
-        Thread(target=self._receive, args=arguments, daemon=True).start()
-        Thread(target=self._beat, args=arguments, daemon=True).start()
+        lifetime = self.lifetime
+        inbox: Queue[tuple[float, bytes]] = Queue()
+        for work in (self._receive, self._handle_all):
+            Thread(target=work, args=(lifetime, inbox), daemon=True).start()
+        Thread(target=self._beat, args=(lifetime,), daemon=True).start()
 
     def crash(self) -> None:
         """Ends at once and discards all flows."""
@@ -144,7 +153,7 @@
             'version': 'v1',
             'max_concurrency': settings.slots,
             'state': 'ready',
-            'warmup_left_ms': 0,
+            'warmup_left_ms': self._warmup_left_ms(),
             'sequence': self._sequence,
             'born': self.born,
         }
@@ -167,6 +176,10 @@
             self.acked_s = monotonic()
         return is_acked
 
+    def _warmup_left_ms(self) -> int:
+        left_s = self._slow_until_s - monotonic()
+        return int(max(left_s, 0.0) * 1000)
+
     def _beat(self, lifetime: int) -> None:
         while self.is_running and self.lifetime == lifetime:
             if self.is_hung:
@@ -175,7 +188,10 @@
             is_acked = self.send_heartbeat()
             sleep(self.settings.beat_s if is_acked else BEAT_RETRY_S)
 
-    def _receive(self, lifetime: int) -> None:
+    def _receive(
+        self, lifetime: int, inbox: Queue[tuple[float, bytes]]
+    ) -> None:
+        """Takes packets from the socket."""
         sock = self._packets
         while self.is_running and self.lifetime == lifetime:
             try:
@@ -184,6 +200,20 @@
                 continue
             except OSError:
                 return
+            now_s = monotonic()
+            delay_s = self.latency_s if now_s < self._slow_until_s else 0.0
+            inbox.put((now_s + delay_s, octets))
+
+    def _handle_all(
+        self, lifetime: int, inbox: Queue[tuple[float, bytes]]
+    ) -> None:
+        """Handles packets in their order, each when it is due."""
+        while self.is_running and self.lifetime == lifetime:
+            try:
+                due_s, octets = inbox.get(timeout=POLL_S)
+            except Empty:
+                continue
+            sleep(max(due_s - monotonic(), 0.0))
             with self._lock:
                 self._on_packet(octets)
 
--- a/review/deployment/upgrade.py
+++ b/review/deployment/upgrade.py
@@ -24,7 +24,7 @@
 
 def run_all(work: Callable[[Flow], None], flows: list[Flow]) -> None:
     """Does something with all flows at the same time."""
-    threads = [Thread(target=work, args=(flow,)) for flow in flows]
+    threads = [Thread(target=work, args=(flow,), daemon=True) for flow in flows]
     for thread in threads:
         thread.start()
         sleep(0.01)
--- a/review/deployment/world.py
+++ b/review/deployment/world.py
@@ -10,7 +10,8 @@
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
 from random import Random
-from signal import SIGTERM
+from shutil import rmtree
+from signal import SIGALRM, SIGTERM, alarm, signal
 from socket import AF_INET, SOCK_DGRAM, SOCK_STREAM, socket
 from time import monotonic, sleep
 
@@ -48,6 +49,7 @@
 CONTACT_S = BOUNDS['contact_ms'] / 1000
 IDLE_MS = 15000
 START_LIMIT_S = 15.0
+CASE_LIMIT_S = 110
 # The pause of the platform before it starts a process again.
 RESTART_S = 0.5
 
@@ -81,8 +83,14 @@
         fronts: tuple[str, ...],
         sides: tuple[tuple[str, str], ...],
         work_s: float = 0.05,
+        spare: int = 0,
     ) -> None:
-        """Takes the zone of each balancer; zone and service of each agent."""
+        """Takes the zone of each balancer; zone and service of each agent.
+
+        The last `spare` agents are not started by `start`.
+        """
+        self._first_count = len(sides) - spare
+        self._has_started = False
         self.record = record
         self.random = Random(seed)
         self.folder = Path(tempfile.mkdtemp(prefix='case-'))
@@ -153,7 +161,7 @@
                 'health_path': '/health',
                 'max_connections': 2000,
                 'warmup_s': 2.0,
-                'warmup_per_s': 20,
+                'warmup_per_s': 0.0,
             }
             for name in names
         ]
@@ -166,19 +174,22 @@
 
     def start(self) -> None:
         """Starts all nodes and endpoints, and waits until all serve."""
-        for node in self.fronts + self.sides:
+        first = self._first_count
+        for node in self.fronts + self.sides[:first]:
             self.start_node(node)
-        for target in self.targets:
+        targets = self.targets[:first]
+        for target in targets:
             target.start()
         fronts = self.router.fronts
         self.wait(
             lambda: (
                 all(front.is_in_rotation for front in fronts)
-                and all(target.acked_s for target in self.targets)
-                and self._entry_count() == len(self.sides)
+                and all(target.acked_s for target in targets)
+                and self._entry_count() == first
             ),
             'all nodes to serve',
         )
+        self._has_started = True
         sleep(2.0)
 
     def wait(self, is_done: Callable[[], bool], what: str) -> None:
@@ -255,9 +266,7 @@
                 node.process.kill()
                 node.process.wait()
         if 'KEEP' not in os.environ:
-            for path in self.folder.iterdir():
-                path.unlink()
-            self.folder.rmdir()
+            rmtree(self.folder, ignore_errors=True)
 
     def _entry_count(self) -> int:
         return len(self.store.objects.get('cumindrift-agents', {}))
@@ -290,7 +299,7 @@
             'seed_addrs': [
                 f'{each.ip}:{ports["control"]}' for each in self.fronts[:3]
             ],
-            'bootstrap': node.start_count == 0,
+            'bootstrap': node.start_count == 0 and not self._has_started,
             'loss_counts': not is_agent,
             'discovery': 'local',
             'entry': 'advertise',
@@ -355,20 +364,27 @@
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
     record.note(f'the disruption is {"on" if has_trouble else "off"}')
     played = None
+    signal(SIGALRM, _on_late)
+    alarm(CASE_LIMIT_S)
     try:
         played = World(record, seed=int(os.environ.get('SEED', '1')), **world)
         played.start()
         has_held = case(played, has_trouble)
-    except (CannotRunError, OSError) as error:
+    except Exception as error:
         record.note(f'could not run: {error!r}')
         return 2
     finally:
+        alarm(0)
         if played is not None:
             played.close()
     record.note('the rule held' if has_held else 'the rule was broken')
     return 0 if has_held else 1
 
 
+def _on_late(_number: int, _frame: object) -> None:
+    raise CannotRunError('the case took too long')
+
+
 def _is_listening(address: Address) -> bool:
     connection = HTTPConnection(*address, timeout=0.2)
     try:
